--- /dev/null
+++ b/include/comfreylock/events.h
@@ -0,0 +1,141 @@
+#ifndef COMFREYLOCK_EVENTS_H_
+#define COMFREYLOCK_EVENTS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "comfreylock/bundle.h"
+#include "comfreylock/store.h"
+#include "comfreylock/types.h"
+#include "generated/comfreylock.pb.h"
+
+/// Everything that the reducer is told.
+namespace comfreylock {
+
+/// What the reducer needs to know of a caller's request.
+struct RequestSummary {
+  std::string method;
+  std::string target;
+  std::optional<PresentedKey> key;
+  std::string idempotency_key;
+  std::string request_id;
+  std::optional<std::chrono::milliseconds> deadline;
+  std::optional<uint64_t> body_size;  ///< Unknown for chunked bodies.
+  bool body_complete = false;         ///< The whole body is buffered.
+  std::string body_digest;  ///< SHA-256, when the whole body is buffered.
+  bool onward = false;      ///< Came from this host's own target.
+};
+
+/// A caller's request arrived at this node.
+struct CallArrived {
+  CallId call;
+  RequestSummary request;
+};
+
+/// How an attempt ended.
+enum class AttemptKind {
+  kAnswered,  ///< A whole answer, or the head of a streamed one.
+  kRefused,   ///< The target's node refused it; see the report.
+  kNotSent,   ///< Nothing of the request left this node.
+  kBroken,    ///< Cut after the request was sent.
+  kTimedOut,
+  kCrossed,  ///< The answer was for another request.
+};
+
+/// An attempt to reach a target's node ended.
+struct AttemptEnded {
+  CallId call;
+  uint32_t attempt = 0;
+  AttemptKind kind = AttemptKind::kBroken;
+  int status = 0;             ///< HTTP status of an answer.
+  wire::AnswerReport report;  ///< Empty unless the node answered.
+  std::chrono::microseconds latency{0};
+  bool body_left = false;                    ///< Streamed body bytes were sent.
+  std::optional<wire::StoredAnswer> answer;  ///< For once-only routes.
+};
+
+/// The caller closed its connection.
+struct CallerGone {
+  CallId call;
+};
+
+/// The answer was passed on, whole or not; the call is over.
+struct CallFinished {
+  CallId call;
+  bool whole = false;
+};
+
+/// Another node asks this node to run a request on its target.
+struct WorkArrived {
+  WorkId work;
+  wire::CallContext context;
+};
+
+/// How the target dealt with a request.
+enum class WorkResult {
+  kCompleted,     ///< A whole answer.
+  kTargetShed,    ///< The target answered 503 or 429.
+  kNotConnected,  ///< Nothing was sent to the target.
+  kBroken,        ///< The connection broke after the request was sent.
+  kBadAnswer,     ///< Cut or crossed answer, target still accepts connections.
+  kTimedOut,
+  kCancelled,
+};
+
+struct WorkEnded {
+  WorkId work;
+  WorkResult result = WorkResult::kBroken;
+  bool target_gone = false;  ///< A new connection to the target was refused.
+};
+
+/// The entry node closed the connection.
+struct WorkCancelled {
+  WorkId work;
+};
+
+/// An authenticated control message.
+struct PeerMessageReceived {
+  NodeId from;
+  std::string control_address;
+  uint64_t incarnation = 0;
+  wire::PeerMessage message;
+};
+
+/// The store answered, failed, or fired a watch.
+struct StoreAnswered {
+  StoreCallId call;
+  StoreResult result;
+};
+
+/// Sent every `kTickInterval`.
+struct Tick {};
+
+/// Graceful shutdown was requested.
+struct DrainRequested {};
+
+using EventBody = std::variant<CallArrived,
+                               AttemptEnded,
+                               CallerGone,
+                               CallFinished,
+                               WorkArrived,
+                               WorkEnded,
+                               WorkCancelled,
+                               PeerMessageReceived,
+                               StoreAnswered,
+                               Tick,
+                               DrainRequested>;
+
+/// An event and when it happened.
+struct Event {
+  TimePoint time;
+  WallTime wall_time;
+  EventBody body;
+};
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_EVENTS_H_
--- /dev/null
+++ b/include/comfreylock/log_event.h
@@ -0,0 +1,48 @@
+#ifndef COMFREYLOCK_LOG_EVENT_H_
+#define COMFREYLOCK_LOG_EVENT_H_
+
+#include <span>
+#include <string_view>
+
+/// Numbered log events. The catalogue is docs/log-events.md.
+namespace comfreylock {
+
+/// Numbers are never reused. 1xx node, 2xx calls, 3xx work, 4xx store,
+/// 5xx peers and membership, 6xx bundle, 7xx rate and claims.
+enum class LogCode {
+  kNodeStarted = 100,
+  kNodeDraining = 101,
+  kNodeStopped = 102,
+  kSettingsInvalid = 103,
+  kCallRefused = 200,
+  kCallRetried = 201,
+  kAttemptFailed = 202,
+  kWorkRejected = 300,
+  kTargetCrashed = 301,
+  kRequestQuarantined = 302,
+  kStoreFailed = 400,
+  kStoreRecovered = 401,
+  kMemberChanged = 500,
+  kBundleInForce = 600,
+  kBundleRejected = 601,
+};
+
+enum class LogLevel { kInfo, kWarning, kError };
+
+/// One line of the catalogue.
+struct LogEventInfo {
+  LogCode code;
+  LogLevel level;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+/// @return all events, ordered by number.
+std::span<const LogEventInfo> LogCatalogue();
+
+/// @return the catalogue's line for `code`.
+const LogEventInfo& InfoOf(LogCode code);
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_LOG_EVENT_H_
--- /dev/null
+++ b/include/comfreylock/reducer.h
@@ -0,0 +1,163 @@
+#ifndef COMFREYLOCK_REDUCER_H_
+#define COMFREYLOCK_REDUCER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "comfreylock/admission.h"
+#include "comfreylock/bundle.h"
+#include "comfreylock/effects.h"
+#include "comfreylock/events.h"
+#include "comfreylock/routing.h"
+#include "comfreylock/types.h"
+
+/// The reducer: all decisions of one node, as a function from events to
+/// effects. It reads no clock, owns no socket, and its only source of
+/// randomness is seeded at construction.
+namespace comfreylock {
+
+/// What a node knows of itself, from its settings.
+struct NodeIdentity {
+  NodeId node;
+  std::string service;
+  std::string zone;
+  std::string peer_address;     ///< IP:PORT of the data listener.
+  std::string control_address;  ///< IP:PORT of the control listener.
+  uint64_t incarnation = 1;     ///< Greater at each start of this node.
+  uint64_t seed = 1;
+  std::vector<std::string> seeds;  ///< Control addresses of first peers.
+};
+
+/// Figures for the operator's listener.
+struct NodeStatus {
+  uint64_t bundle_version = 0;
+  uint32_t in_flight = 0;
+  uint32_t queued = 0;
+  uint32_t limit = 0;
+  size_t members = 0;
+  size_t calls = 0;
+  bool draining = false;
+};
+
+/// The state of one node.
+class Node {
+ public:
+  Node(NodeIdentity identity, TimePoint now);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Takes one event. Times must not go backwards.
+  /// @return what the shell has to do, in order.
+  Effects Reduce(const Event& event);
+
+  /// @return the bundle in force, or null before the first.
+  const Bundle* bundle() const { return bundle_.get(); }
+
+  NodeStatus status() const;
+
+  /// @return the report that goes with the answer to `work`.
+  wire::AnswerReport ReportFor(WorkId work) const;
+
+ private:
+  /// A caller's request at its entry.
+  struct Call {
+    CallId id;
+    RequestSummary request;
+    std::string route;
+    std::string service;
+    std::string organisation;
+    std::string key_id;
+    uint32_t importance = 0;
+    uint32_t depth = 0;
+    uint32_t retries_left = 0;
+    bool once_only = false;
+    TimePoint deadline;
+    WorkId parent;  ///< Set for onward calls.
+    uint32_t attempt = 0;
+    NodeId node;
+    std::vector<NodeId> tried;
+    bool may_have_run = false;
+  };
+
+  /// A request at this host's target.
+  struct Work {
+    wire::CallContext context;
+    TimePoint deadline;
+    bool started = false;
+    uint32_t retries_left = 0;
+  };
+
+  // Each handler appends to effects_.
+  void On(const CallArrived& event);
+  void On(const AttemptEnded& event);
+  void On(const CallerGone& event);
+  void On(const CallFinished& event);
+  void On(const WorkArrived& event);
+  void On(const WorkEnded& event);
+  void On(const WorkCancelled& event);
+  void On(const PeerMessageReceived& event);
+  void On(const StoreAnswered& event);
+  void On(const Tick& event);
+  void On(const DrainRequested& event);
+
+  // Calls at their entry.
+  /// Fills route, organisation, importance and deadline of a call.
+  /// @return `kNone`, or why the call is refused.
+  Reason Classify(Call& call);
+  Reason ClassifyOnward(Call& call);
+  Reason Authenticate(Call& call, const RouteRule& route);
+  void DispatchCall(Call& call, std::chrono::milliseconds delay);
+  bool MayRetry(const Call& call, const AttemptEnded& event) const;
+  void FailCall(Call& call, const AttemptEnded& event);
+  void Refuse(const Call& call, Reason reason, Outcome outcome);
+
+  // Requests at the target.
+  void Apply(const AdmissionChanges& changes);
+  void Reject(WorkId work, Reason reason);
+  wire::AnswerReport Report(const Work& work) const;
+
+  // Fleet.
+  void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
+  void OnBundleRead(StoreResult result);
+  void OnBundleChanged(StoreResult result);
+  void OnMembersRead(StoreResult result);
+  void OnMembersChanged(StoreResult result);
+  void OnAnnounced(StoreResult result);
+  void TakeBundle(const StoreEntry& entry);
+  void TakeMember(const StoreEntry& entry, bool deleted);
+  void StartStoreReads();
+  void FinishDrain();
+
+  NodeIdentity identity_;
+  std::mt19937_64 random_;
+  TimePoint now_;
+  WallTime wall_now_{};
+  Effects effects_;
+
+  std::shared_ptr<const Bundle> bundle_;
+  std::unique_ptr<Admission> admission_;
+  Router router_;
+  std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<WorkId, Work> works_;
+  std::unordered_map<std::string, WorkId> work_by_request_;
+  std::map<NodeId, wire::Member> members_;
+
+  uint64_t last_store_call_ = 0;
+  std::unordered_map<StoreCallId, void (Node::*)(StoreResult)> store_calls_;
+  TimePoint next_store_try_;
+  bool announced_ = false;
+  bool watching_ = false;
+  bool draining_ = false;
+  bool exited_ = false;
+};
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_REDUCER_H_
--- /dev/null
+++ b/include/comfreylock/store.h
@@ -0,0 +1,149 @@
+#ifndef COMFREYLOCK_STORE_H_
+#define COMFREYLOCK_STORE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "comfreylock/types.h"
+
+/// The platform's key-value service: requests and results as data, and the
+/// interface that carries them out.
+namespace comfreylock {
+
+/// A value with its revisions.
+struct StoreEntry {
+  std::string key;
+  std::string value;
+  int64_t create_revision = 0;
+  int64_t mod_revision = 0;
+  int64_t lease = 0;
+};
+
+/// Reads one key, or all keys from `key` up to `range_end` (exclusive).
+struct StoreRange {
+  std::string key;
+  std::string range_end;  ///< Empty: just `key`.
+  int64_t limit = 0;      ///< 0: no limit.
+};
+
+/// Holds if the key's last modification has this revision; 0: key is absent.
+struct StoreCompare {
+  std::string key;
+  int64_t mod_revision = 0;
+};
+
+struct StorePut {
+  std::string key;
+  std::string value;
+  int64_t lease = 0;
+};
+
+struct StoreDelete {
+  std::string key;
+  std::string range_end;  ///< Empty: just `key`.
+};
+
+/// Writes everything if all compares hold, otherwise nothing.
+struct StoreTransaction {
+  std::vector<StoreCompare> compares;
+  std::vector<StorePut> puts;
+  std::vector<StoreDelete> deletes;
+};
+
+struct StoreLeaseGrant {
+  std::chrono::seconds ttl{5};
+};
+
+struct StoreLeaseKeepAlive {
+  int64_t lease = 0;
+};
+
+struct StoreLeaseRevoke {
+  int64_t lease = 0;
+};
+
+/// Waits for changes of a key or range after a revision. One result is given
+/// for each change until the watch is cancelled or fails.
+struct StoreWatch {
+  std::string key;
+  std::string range_end;
+  int64_t start_revision = 0;
+};
+
+struct StoreCancelWatch {
+  StoreCallId watch;
+};
+
+using StoreRequest = std::variant<StoreRange,
+                                  StoreTransaction,
+                                  StoreLeaseGrant,
+                                  StoreLeaseKeepAlive,
+                                  StoreLeaseRevoke,
+                                  StoreWatch,
+                                  StoreCancelWatch>;
+
+struct StoreRangeResult {
+  std::vector<StoreEntry> entries;
+  int64_t revision = 0;
+  bool more = false;
+};
+
+struct StoreTransactionResult {
+  bool succeeded = false;
+  int64_t revision = 0;
+};
+
+struct StoreLeaseResult {
+  int64_t lease = 0;
+  std::chrono::seconds ttl{0};  ///< 0: the lease has expired.
+};
+
+struct StoreChange {
+  StoreEntry entry;
+  bool deleted = false;
+};
+
+struct StoreWatchResult {
+  std::vector<StoreChange> changes;
+  int64_t revision = 0;
+  int64_t compacted_revision = 0;  ///< Not 0: re-read, then watch again.
+};
+
+/// The request failed. `maybe_done` tells that a write may have taken effect.
+struct StoreFailure {
+  std::string message;
+  bool maybe_done = false;
+};
+
+using StoreResult = std::variant<StoreRangeResult,
+                                 StoreTransactionResult,
+                                 StoreLeaseResult,
+                                 StoreWatchResult,
+                                 StoreFailure>;
+
+/// Carries out store requests. One implementation for each kind of service.
+class StoreClient {
+ public:
+  using Callback = std::function<void(StoreCallId, StoreResult)>;
+
+  virtual ~StoreClient() = default;
+
+  /// Starts a request; the callback is called later on the same thread, once,
+  /// and for watches once for each change until it fails or is cancelled.
+  /// @param call identifies the request in results.
+  /// @param timeout after which the request fails; not used for watches.
+  virtual void Start(StoreCallId call,
+                     StoreRequest request,
+                     std::chrono::milliseconds timeout) = 0;
+};
+
+/// @return the end of the range of all keys that start with `prefix`.
+std::string PrefixEnd(std::string_view prefix);
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_STORE_H_
--- /dev/null
+++ b/include/comfreylock/types.h
@@ -0,0 +1,122 @@
+#ifndef COMFREYLOCK_TYPES_H_
+#define COMFREYLOCK_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+/// Basic types shared by all modules: time, handles, outcomes and reasons.
+namespace comfreylock {
+
+/// Clock that keeps counting while the process or host is suspended. The core
+/// never reads it; every event carries the time.
+struct NodeClock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<NodeClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = NodeClock::time_point;
+
+/// Wall-clock time in milliseconds since the Unix epoch. Used only for the age
+/// of idempotency keys and records, never for leases.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// Typed handle; 0 is never a valid value.
+template <typename Tag>
+struct Handle {
+  uint64_t value = 0;
+  auto operator<=>(const Handle&) const = default;
+  explicit operator bool() const { return value != 0; }
+};
+
+using CallId = Handle<struct CallTag>;            ///< A call at its entry.
+using WorkId = Handle<struct WorkTag>;            ///< A call at its target.
+using StoreCallId = Handle<struct StoreCallTag>;  ///< A request to the store.
+
+/// Name of a node, unique in the fleet; taken from its settings.
+using NodeId = std::string;
+
+/// What is certain about a call that was answered.
+enum class Outcome { kComplete, kNotRun, kUnknown };
+
+/// @return the value of the `Comfreylock-Outcome` header.
+std::string_view OutcomeName(Outcome outcome);
+
+/// Why a call was refused. Names and statuses are part of the caller contract.
+enum class Reason {
+  kNone,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  kRequestTimeout,
+  kKeyMissing,
+  kKeyUnknown,
+  kOrganisationNotAllowed,
+  kUnknownParent,
+  kNoRoute,
+  kIdempotencyKeyMissing,
+  kIdempotencyKeyInvalid,
+  kIdempotencyKeyExpired,
+  kBodyDiffers,
+  kOutcomeUnknown,
+  kOverRate,
+  kRateShareUnavailable,
+  kOverload,
+  kDraining,
+  kNoTarget,
+  kStoreUnavailable,
+  kClaimsFull,
+  kQuarantined,
+  kIsolated,
+  kNoBundle,
+  kBadAnswer,
+  kTargetFailed,
+  kDeadline,
+  kCallerGone,
+  kInternal,
+  kCount,
+};
+
+/// Fixed facts about a reason.
+struct ReasonInfo {
+  std::string_view name;   ///< As in the problem body, e.g. `over_rate`.
+  int status;              ///< HTTP status.
+  std::string_view title;  ///< One sentence for people.
+  bool retry_after;        ///< Whether waiting helps.
+};
+
+/// @return name, status and title of `reason`.
+const ReasonInfo& InfoOf(Reason reason);
+
+/// @return the reason called `name`, or `kInternal` if there is none.
+Reason ReasonFromName(std::string_view name);
+
+/// Base of all errors that comfreylock throws.
+class Error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Bad input: names the file, line or field, what was wrong, what is allowed.
+class InputError : public Error {
+ public:
+  using Error::Error;
+};
+
+}  // namespace comfreylock
+
+template <typename Tag>
+struct std::hash<comfreylock::Handle<Tag>> {
+  size_t operator()(const comfreylock::Handle<Tag>& handle) const {
+    return std::hash<uint64_t>()(handle.value);
+  }
+};
+
+#endif  // COMFREYLOCK_TYPES_H_
--- /dev/null
+++ b/scripts/fleetlib.py
@@ -0,0 +1,274 @@
+"""Starts stores, targets and nodes on loopback for the demo, the tests and the
+measurements. Needs only Python's standard library and build/bin/."""
+
+import base64
+import hashlib
+import hmac
+import http.client
+import json
+import os
+import pathlib
+import re
+import secrets
+import signal
+import socket
+import subprocess
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(os.environ.get("COMFREYLOCK_BIN", ROOT / "build" / "bin"))
+ZONES = ("zone-a", "zone-b", "zone-c")
+# Number of upstreams of each service in the two deployments of the brief.
+SHAPES = {
+    "herb": {"label-proofs": 3, "print-orders": 3, "uploads": 3,
+             "batch-register": 3},
+    "ertis": {"design-proofs": 4, "deposits-bookings": 3, "artwork-intake": 3,
+              "catalogue": 3},
+}
+BUNDLE_HEAD = "/comfreylock/bundle/head"
+
+
+def read_commented_json(path):
+    """Reads JSON with // comments on lines of their own or after values."""
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    return json.loads(re.sub(r'("(?:\\.|[^"\\])*")|//[^\n]*',
+                             lambda found: found.group(1) or "", text))
+
+
+def free_addresses(count):
+    """Returns `count` loopback addresses that are free at this moment."""
+    sockets = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind(("127.0.0.1", 0))
+        sockets.append(probe)
+    addresses = ["127.0.0.1:%d" % s.getsockname()[1] for s in sockets]
+    for probe in sockets:
+        probe.close()
+    return addresses
+
+
+def request(address, method, path, headers=None, body=None, timeout=10.0):
+    """Sends one HTTP request; returns (status, headers, body)."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        connection.close()
+
+
+def wait_until(condition, seconds, what):
+    """Polls until `condition()` is true; raises TimeoutError otherwise."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise TimeoutError("waited %g s for %s" % (seconds, what))
+
+
+def _b64(text):
+    data = text if isinstance(text, bytes) else text.encode()
+    return base64.b64encode(data).decode()
+
+
+class Process:
+    """One process of the fleet."""
+
+    def __init__(self, name, role, arguments, log_path, **facts):
+        self.name = name
+        self.role = role
+        self.facts = facts
+        self.log_path = log_path
+        self.arguments = [str(a) for a in arguments]
+        self.popen = None
+        self.start()
+
+    def start(self):
+        log = open(self.log_path, "ab")
+        self.popen = subprocess.Popen(self.arguments, stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def wait(self, seconds):
+        return self.popen.wait(seconds)
+
+    def describe(self):
+        return {"name": self.name, "role": self.role, "pid": self.popen.pid,
+                "log": str(self.log_path), **self.facts}
+
+
+class Fleet:
+    """A store, targets and a node beside each target."""
+
+    def __init__(self, state_dir, shape="herb", external_targets=None,
+                 external_store=None, target_options=None, bundle=None,
+                 node_options=None):
+        self.state_dir = pathlib.Path(state_dir)
+        self.state_dir.mkdir(parents=True, exist_ok=True)
+        self.processes = []
+        self.secret = secrets.token_hex(32)
+        self.salt = secrets.token_hex(16)
+        self.keys = {}
+        self.target_options = target_options or {}
+        self.node_options = node_options or {}
+        self.external_targets = dict(external_targets or {})
+        self.services, self.bundle = self._load_shape(shape, bundle)
+        self.store_address = external_store or self._start_store()
+        self.nodes = {}
+        self.targets = {}
+        self.control_addresses = []
+        for service, count in self.services.items():
+            for index in range(count):
+                self._start_upstream(service, index)
+        self.write_description()
+
+    def _load_shape(self, shape, bundle):
+        if shape in SHAPES:
+            loaded = bundle or read_commented_json(
+                ROOT / "examples" / shape / "bundle.json")
+            return SHAPES[shape], loaded
+        loaded = read_commented_json(shape)
+        return loaded["upstreams"], bundle or loaded["bundle"]
+
+    def _log(self, name):
+        return self.state_dir / (name + ".log")
+
+    def _start_store(self):
+        address = free_addresses(1)[0]
+        self.store = Process("store", "store",
+                             [BIN / "standin-store", "--address=" + address],
+                             self._log("store"), addresses={"http": address})
+        self.processes.append(self.store)
+        wait_until(lambda: request(address, "GET", "/standin/counters"), 10,
+                   "the store")
+        return address
+
+    def _start_upstream(self, service, index):
+        name = "%s-%d" % (service, index)
+        zone = ZONES[index % len(ZONES)]
+        target, caller, onward, peer, control, operator = free_addresses(6)
+        if service in self.external_targets and index == 0:
+            target = self.external_targets.pop(service)
+        else:
+            options = self.target_options.get(service, [])
+            options = [o.replace("{onward}", onward) for o in options]
+            process = Process(name + "-target", "target",
+                              [BIN / "standin-target", "--address=" + target,
+                               "--name=" + name, *options],
+                              self._log(name + "-target"), service=service,
+                              zone=zone, addresses={"http": target})
+            self.processes.append(process)
+            self.targets[name] = process
+        settings = {
+            "node": name, "zone": zone, "service": service,
+            "caller_address": caller, "onward_address": onward,
+            "peer_address": peer, "control_address": control,
+            "operator_address": operator, "target_address": target,
+            "store_address": self.store_address,
+            "fleet_secret_hex": self.secret,
+            "seeds": list(self.control_addresses[:3]), **self.node_options}
+        path = self.state_dir / (name + ".json")
+        path.write_text(json.dumps(settings, indent=1))
+        self.control_addresses.append(control)
+        process = Process(name, "node",
+                          [BIN / "comfreylock-node", "--settings=%s" % path],
+                          self._log(name), service=service, zone=zone,
+                          addresses={"caller": caller, "onward": onward,
+                                     "peer": peer, "control": control,
+                                     "operator": operator, "target": target})
+        self.processes.append(process)
+        self.nodes[name] = process
+
+    def write_description(self):
+        """Writes fleet.json: role, service, zone, addresses, pid, log."""
+        (self.state_dir / "fleet.json").write_text(
+            json.dumps([p.describe() for p in self.processes], indent=1))
+
+    def issue_keys(self):
+        """Makes one caller key for each organisation and adds its hash."""
+        self.bundle["key_salt"] = self.salt
+        for organisation in self.bundle["organisations"]:
+            identifier = organisation.replace("_", "-") + "-1"
+            key = "cl_%s_%s" % (identifier, secrets.token_hex(16))
+            digest = hmac.new(bytes.fromhex(self.salt), key.encode(),
+                              hashlib.sha256).hexdigest()
+            self.bundle.setdefault("keys", []).append(
+                {"id": identifier, "organisation": organisation,
+                 "hash": digest})
+            self.keys[organisation] = key
+
+    def roll(self):
+        """Puts the bundle into force."""
+        value = json.dumps(self.bundle)
+        body = json.dumps({"compare": [], "success": [{"request_put": {
+            "key": _b64(BUNDLE_HEAD), "value": _b64(value)}}]})
+        status, _, _ = request(self.store_address, "POST", "/v3/kv/txn",
+                               body=body)
+        if status != 200:
+            raise RuntimeError("the store answered %d to the roll" % status)
+
+    def caller(self, name):
+        return self.nodes[name].facts["addresses"]["caller"]
+
+    def any_callers(self):
+        return [p.facts["addresses"]["caller"] for p in self.nodes.values()]
+
+    def wait_ready(self, seconds=20):
+        """Waits until every node serves every route of the bundle."""
+        key = next(iter(self.keys.values()), "")
+        headers = {"Authorization": "Bearer " + key}
+        probes = [(r["methods"][0], r["path"]) for r in self.bundle["routes"]
+                  if r.get("methods", ["GET"])[0] == "GET"]
+        for name in self.nodes:
+            for method, path in probes:
+                wait_until(lambda: request(
+                    self.caller(name), method, path + "/ready",
+                    headers)[0] == 200, seconds,
+                    "%s to serve %s" % (name, path))
+
+    def executions(self, service=None):
+        """All executions recorded by the stand-in targets."""
+        found = []
+        for name, process in self.targets.items():
+            if service and process.facts["service"] != service:
+                continue
+            if process.popen.poll() is not None:
+                continue
+            address = process.facts["addresses"]["http"]
+            found += json.loads(request(
+                address, "GET", "/standin/executions")[2])
+        return found
+
+    def stop(self):
+        """Ends all processes of this fleet, gracefully where possible."""
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+        for process in self.processes:
+            if process.role == "node":
+                process.signal(signal.SIGTERM)
+        end = time.monotonic() + 10
+        for process in self.processes:
+            if process.role != "node":
+                continue
+            try:
+                process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.signal(signal.SIGKILL)
+        for process in self.processes:
+            process.signal(signal.SIGKILL)
+            process.popen.wait()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
--- /dev/null
+++ b/src/http_edge.h
@@ -0,0 +1,76 @@
+#ifndef COMFREYLOCK_HTTP_EDGE_H_
+#define COMFREYLOCK_HTTP_EDGE_H_
+
+#include <chrono>
+#include <memory>
+#include <unordered_map>
+
+#include "node_host.h"
+
+/// Listeners for callers and for the target's onward calls, and the client
+/// side of the connections to other nodes.
+namespace comfreylock {
+
+class HttpEdge {
+ public:
+  struct Limits {
+    std::chrono::milliseconds header_timeout;
+    std::chrono::milliseconds idle_timeout;
+  };
+
+  HttpEdge(asio::io_context& context, NodeHost& host, Limits limits);
+  ~HttpEdge();
+
+  /// Starts to accept connections.
+  /// @param onward the listener is for this host's own target.
+  /// @throws boost::system::system_error if the address cannot be bound.
+  void Listen(const std::string& address, bool onward);
+
+  /// Stops accepting; open connections are told to close after their answer.
+  void StopAccepting();
+
+  // Effects of the reducer.
+  void Apply(const RefuseCall& effect);
+  void Apply(const Dispatch& effect);
+  void Apply(const DeliverAnswer& effect);
+  void Apply(const ReplayAnswer& effect);
+  void Apply(const CancelAttempt& effect);
+
+ private:
+  struct Connection;
+  struct Attempt;
+  struct PendingCall;
+  using CallPointer = std::shared_ptr<PendingCall>;
+
+  asio::awaitable<void> Accept(
+      std::shared_ptr<asio::ip::tcp::acceptor> acceptor,
+      bool onward);
+  asio::awaitable<void> Serve(std::shared_ptr<Connection> connection,
+                              bool onward);
+  asio::awaitable<bool> ServeOne(std::shared_ptr<Connection> connection,
+                                 bool onward);
+  asio::awaitable<void> Decide(CallPointer call);
+  asio::awaitable<bool> Answer(CallPointer call);
+  asio::awaitable<void> WriteAnswer(CallPointer call);
+  asio::awaitable<void> WatchCaller(CallPointer call);
+  asio::awaitable<void> RunAttempt(CallPointer call, Dispatch dispatch);
+  asio::awaitable<void> Exchange(CallPointer call,
+                                 const Dispatch& dispatch,
+                                 std::shared_ptr<Attempt> attempt,
+                                 AttemptEnded& ended);
+  RequestHead PeerRequest(const PendingCall& call, const Dispatch& dispatch);
+  RequestSummary Summarise(const PendingCall& call) const;
+  CallPointer Find(CallId call);
+
+  asio::io_context& context_;
+  NodeHost& host_;
+  Limits limits_;
+  HttpPool pool_;
+  bool stopping_ = false;
+  std::vector<std::shared_ptr<asio::ip::tcp::acceptor>> acceptors_;
+  std::unordered_map<CallId, CallPointer> calls_;
+};
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_HTTP_EDGE_H_
--- /dev/null
+++ b/src/http_peer.cc
@@ -0,0 +1,360 @@
+#include "http_peer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "comfreylock/config.h"
+#include "http_problem.h"
+#include "peer_context.h"
+
+namespace comfreylock {
+namespace {
+
+using boost::system::error_code;
+using boost::system::system_error;
+
+constexpr uint32_t kHeaderLimitBytes = 80 * 1024;
+/// Idle connections to the target are closed after this time: common servers
+/// close theirs after 5 s, and a request sent at that moment would be in doubt.
+constexpr std::chrono::milliseconds kTargetIdleLimit = 2s;
+/// Entry nodes drop idle connections after 20 s, so this side never does first.
+constexpr std::chrono::milliseconds kPeerIdleTimeout = 60s;
+/// Time to connect to the target on the same host.
+constexpr std::chrono::milliseconds kConnectTimeout = 1s;
+/// Time to find out whether the target accepts connections after a break.
+constexpr std::chrono::milliseconds kProbeTimeout = 200ms;
+
+Reason ReasonOf(WorkResult result) {
+  switch (result) {
+    case WorkResult::kTimedOut:
+      return Reason::kDeadline;
+    case WorkResult::kBadAnswer:
+      return Reason::kBadAnswer;
+    case WorkResult::kNotConnected:
+      return Reason::kNoTarget;
+    case WorkResult::kCancelled:
+      return Reason::kCallerGone;
+    default:
+      return Reason::kTargetFailed;
+  }
+}
+
+}  // namespace
+
+struct HttpPeer::Connection {
+  explicit Connection(asio::ip::tcp::socket socket)
+      : stream(std::move(socket)) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+struct HttpPeer::PendingWork {
+  explicit PendingWork(asio::io_context& context) : wake(context) {}
+
+  WorkId id;
+  wire::CallContext context;
+  std::shared_ptr<Connection> connection;
+  http::request_parser<http::buffer_body> parser;
+  std::unique_ptr<ParsedBody<true>> body;
+  asio::steady_timer wake;
+  std::optional<StartWork> start;
+  std::optional<RejectWork> reject;
+  bool cancelled = false;
+  std::shared_ptr<HttpConnection> target;
+  ResponseHead answer;
+  std::string beginning;
+  bool whole = false;
+
+  bool has_body() const {
+    return parser.chunked() || parser.content_length().value_or(0) > 0;
+  }
+  bool is_head() const { return parser.get().method() == http::verb::head; }
+};
+
+HttpPeer::HttpPeer(asio::io_context& context,
+                   NodeHost& host,
+                   std::string target_address)
+    : context_(context),
+      host_(host),
+      target_address_(std::move(target_address)),
+      pool_(context.get_executor(), kTargetIdleLimit) {}
+
+HttpPeer::~HttpPeer() = default;
+
+void HttpPeer::Listen(const std::string& address) {
+  acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(
+      context_, ParseEndpoint(address), true);
+  asio::co_spawn(context_, Accept(*acceptor_), asio::detached);
+}
+
+asio::awaitable<void> HttpPeer::Accept(asio::ip::tcp::acceptor& acceptor) {
+  while (acceptor.is_open()) {
+    error_code error;
+    auto socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      asio::steady_timer pause(context_, 10ms);
+      co_await pause.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    asio::co_spawn(context_, Serve(connection), asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpPeer::Serve(std::shared_ptr<Connection> connection) {
+  try {
+    while (co_await ServeOne(connection)) {
+    }
+  } catch (const system_error&) {
+    // The entry node is gone; it knows that its attempt broke.
+  }
+  connection->stream.close();
+}
+
+asio::awaitable<bool> HttpPeer::ServeOne(
+    std::shared_ptr<Connection> connection) {
+  auto work = std::make_shared<PendingWork>(context_);
+  work->id = WorkId{host_.NextId()};
+  work->connection = connection;
+  work->parser.header_limit(kHeaderLimitBytes);
+  work->parser.body_limit(boost::none);
+  auto& stream = connection->stream;
+  stream.expires_after(kPeerIdleTimeout);
+  co_await http::async_read_header(stream, connection->buffer, work->parser,
+                                   asio::use_awaitable);
+  stream.expires_never();
+  auto context = ReadContext(work->parser.get(), host_);
+  if (!context)
+    co_return false;
+  work->context = *context;
+  work->body = std::make_unique<ParsedBody<true>>(stream, connection->buffer,
+                                                  work->parser);
+  works_[work->id] = work;
+  work->wake.expires_at(asio::steady_timer::time_point::max());
+  host_.Feed(WorkArrived{work->id, work->context});
+  asio::co_spawn(context_, WatchEntry(work), asio::detached);
+  while (!work->start && !work->reject && !work->cancelled) {
+    error_code ignored;
+    co_await work->wake.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  bool keep = false;
+  error_code failed;
+  try {
+    if (work->reject)
+      keep = co_await WriteRejection(work);
+    else if (work->start)
+      keep = co_await RunOnTarget(work);
+  } catch (const system_error& error) {
+    failed = error.code();
+  }
+  works_.erase(work->id);
+  co_return keep && !failed;
+}
+
+asio::awaitable<bool> HttpPeer::WriteRejection(WorkPointer work) {
+  // A small body is read, so that the connection can be kept.
+  bool whole = !work->has_body();
+  if (!whole)
+    co_await ReadUpTo(*work->body, kBufferedBodyBytes, whole);
+  SimpleAnswer answer =
+      ProblemAnswer(work->reject->refusal, work->context.request_id(), whole);
+  SetReport(answer.head, work->reject->report);
+  co_await WriteSimple(work->connection->stream, std::move(answer),
+                       work->is_head());
+  co_return whole;
+}
+
+asio::awaitable<bool> HttpPeer::RunOnTarget(WorkPointer work) {
+  WorkResult result = WorkResult::kNotConnected;
+  try {
+    co_await Exchange(work, result);
+  } catch (const system_error& error) {
+    if (work->cancelled)
+      result = WorkResult::kCancelled;
+    else if (error.code() == beast::error::timeout)
+      result = WorkResult::kTimedOut;
+  }
+  if (result == WorkResult::kCompleted || result == WorkResult::kTargetShed)
+    co_return co_await PassOn(work);
+  if (work->target)
+    work->target->Close();
+  bool gone = false;
+  if (result == WorkResult::kBroken) {
+    gone = co_await TargetRefusesConnections();
+    if (!gone)
+      result = WorkResult::kBadAnswer;
+  }
+  bool keep = false;
+  error_code failed;
+  try {
+    keep = co_await WriteFailure(work, result);
+  } catch (const system_error& error) {
+    failed = error.code();
+  }
+  host_.Feed(WorkEnded{work->id, result, gone});
+  co_return keep && !failed;
+}
+
+asio::awaitable<void> HttpPeer::Exchange(WorkPointer work, WorkResult& result) {
+  IoDeadline deadline = host_.ToIoDeadline(work->start->deadline);
+  auto connect_until =
+      std::min(deadline, std::chrono::steady_clock::now() + kConnectTimeout);
+  work->target = co_await pool_.Acquire(target_address_, connect_until);
+  if (work->cancelled) {
+    result = WorkResult::kCancelled;
+    co_return;
+  }
+  bool sent = false;
+  result = WorkResult::kBroken;
+  co_await work->target->Send(TargetRequest(*work),
+                              work->has_body() ? work->body.get() : nullptr,
+                              deadline, sent);
+  work->answer = co_await work->target->ReceiveHead(work->is_head());
+  std::string_view echoed = work->answer["X-Request-Id"];
+  if (!echoed.empty() && echoed != work->context.request_id()) {
+    result = WorkResult::kBadAnswer;
+    co_return;
+  }
+  work->beginning =
+      co_await ReadUpTo(work->target->body(), kBufferedBodyBytes, work->whole);
+  unsigned status = work->answer.result_int();
+  result = status == 503 || status == 429 ? WorkResult::kTargetShed
+                                          : WorkResult::kCompleted;
+}
+
+asio::awaitable<bool> HttpPeer::PassOn(WorkPointer work) {
+  ResponseHead head = work->answer;
+  std::optional<uint64_t> length;
+  if (work->whole)
+    length = work->beginning.size();
+  else if (head.count(http::field::content_length))
+    length = std::stoull(std::string(head[http::field::content_length]));
+  RemoveHopByHop(head);
+  RemovePrivateFields(head);
+  head.version(11);
+  head.set("X-Request-Id", work->context.request_id());
+  wire::AnswerReport report = host_.ReportFor(work->id);
+  report.set_started(true);
+  SetReport(head, report);
+  unsigned status = head.result_int();
+  bool bodiless = work->is_head() || status == 204 || status == 304;
+  if (!bodiless)
+    SetFraming(head, length);
+  if (work->whole) {
+    pool_.Release(work->target);
+    host_.Feed(WorkEnded{work->id, status == 503 || status == 429
+                                       ? WorkResult::kTargetShed
+                                       : WorkResult::kCompleted});
+  }
+  PrefixedBody body(work->beginning,
+                    work->whole ? nullptr : &work->target->body());
+  WorkResult result = WorkResult::kCompleted;
+  try {
+    co_await WriteMessage<false>(work->connection->stream, std::move(head),
+                                 bodiless ? nullptr : &body);
+  } catch (const system_error&) {
+    work->target->Close();
+    result = WorkResult::kBadAnswer;
+  }
+  if (!work->whole) {
+    pool_.Release(work->target);
+    host_.Feed(WorkEnded{work->id, result});
+  }
+  co_return result == WorkResult::kCompleted;
+}
+
+asio::awaitable<bool> HttpPeer::WriteFailure(WorkPointer work,
+                                             WorkResult result) {
+  bool not_run = result == WorkResult::kNotConnected;
+  Refusal refusal{ReasonOf(result),
+                  not_run ? Outcome::kNotRun : Outcome::kUnknown};
+  bool whole = work->parser.is_done();
+  SimpleAnswer answer =
+      ProblemAnswer(refusal, work->context.request_id(), whole);
+  wire::AnswerReport report = host_.ReportFor(work->id);
+  report.set_started(!not_run);
+  report.set_refusal_reason(std::string(InfoOf(refusal.reason).name));
+  SetReport(answer.head, report);
+  co_await WriteSimple(work->connection->stream, std::move(answer),
+                       work->is_head());
+  co_return whole;
+}
+
+asio::awaitable<bool> HttpPeer::TargetRefusesConnections() {
+  HttpConnection probe(context_.get_executor(), target_address_);
+  bool refused = false;
+  try {
+    co_await probe.Connect(std::chrono::steady_clock::now() + kProbeTimeout);
+  } catch (const system_error& error) {
+    refused = error.code() == asio::error::connection_refused;
+  }
+  probe.Close();
+  co_return refused;
+}
+
+asio::awaitable<void> HttpPeer::WatchEntry(WorkPointer work) {
+  bool closed = co_await WaitForClose(work->connection->stream);
+  if (closed && works_.contains(work->id)) {
+    work->cancelled = true;
+    host_.Feed(WorkCancelled{work->id});
+    work->wake.cancel();
+  }
+}
+
+RequestHead HttpPeer::TargetRequest(const PendingWork& work) const {
+  RequestHead head = work.parser.get().base();
+  std::optional<uint64_t> length;
+  if (work.parser.content_length())
+    length = *work.parser.content_length();
+  bool framed =
+      head.count(http::field::content_length) > 0 || work.parser.chunked();
+  RemoveHopByHop(head);
+  RemovePrivateFields(head);
+  head.version(11);
+  head.set(http::field::host, target_address_);
+  head.set("X-Request-Id", work.context.request_id());
+  auto remaining = host_.ToIoDeadline(work.start->deadline) -
+                   std::chrono::steady_clock::now();
+  auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+  head.set("X-Deadline-Ms", std::to_string(std::max<int64_t>(milliseconds, 0)));
+  if (framed)
+    SetFraming(head, length);
+  return head;
+}
+
+HttpPeer::WorkPointer HttpPeer::Find(WorkId work) {
+  auto found = works_.find(work);
+  return found == works_.end() ? nullptr : found->second;
+}
+
+void HttpPeer::Apply(const StartWork& effect) {
+  if (auto work = Find(effect.work)) {
+    work->start = effect;
+    work->wake.cancel();
+  }
+}
+
+void HttpPeer::Apply(const RejectWork& effect) {
+  if (auto work = Find(effect.work)) {
+    work->reject = effect;
+    work->wake.cancel();
+  }
+}
+
+void HttpPeer::Apply(const AbortWork& effect) {
+  if (auto work = Find(effect.work)) {
+    work->cancelled = true;
+    if (work->target)
+      work->target->Close();
+  }
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/http_peer.h
@@ -0,0 +1,59 @@
+#ifndef COMFREYLOCK_HTTP_PEER_H_
+#define COMFREYLOCK_HTTP_PEER_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "node_host.h"
+
+/// Listener for requests from other nodes, and the client of this host's
+/// target.
+namespace comfreylock {
+
+class HttpPeer {
+ public:
+  /// @param target_address IP:PORT of the target; empty if there is none.
+  HttpPeer(asio::io_context& context,
+           NodeHost& host,
+           std::string target_address);
+  ~HttpPeer();
+
+  /// @throws boost::system::system_error if the address cannot be bound.
+  void Listen(const std::string& address);
+
+  // Effects of the reducer.
+  void Apply(const StartWork& effect);
+  void Apply(const RejectWork& effect);
+  void Apply(const AbortWork& effect);
+
+ private:
+  struct Connection;
+  struct PendingWork;
+  using WorkPointer = std::shared_ptr<PendingWork>;
+
+  asio::awaitable<void> Accept(asio::ip::tcp::acceptor& acceptor);
+  asio::awaitable<void> Serve(std::shared_ptr<Connection> connection);
+  asio::awaitable<bool> ServeOne(std::shared_ptr<Connection> connection);
+  asio::awaitable<bool> WriteRejection(WorkPointer work);
+  asio::awaitable<bool> RunOnTarget(WorkPointer work);
+  asio::awaitable<void> Exchange(WorkPointer work, WorkResult& result);
+  asio::awaitable<bool> PassOn(WorkPointer work);
+  asio::awaitable<bool> WriteFailure(WorkPointer work, WorkResult result);
+  asio::awaitable<bool> TargetRefusesConnections();
+  asio::awaitable<void> WatchEntry(WorkPointer work);
+  RequestHead TargetRequest(const PendingWork& work) const;
+  WorkPointer Find(WorkId work);
+
+  asio::io_context& context_;
+  NodeHost& host_;
+  std::string target_address_;
+  HttpPool pool_;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
+  std::unordered_map<WorkId, WorkPointer> works_;
+};
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_HTTP_PEER_H_
--- /dev/null
+++ b/src/json_reader.h
@@ -0,0 +1,84 @@
+#ifndef COMFREYLOCK_JSON_READER_H_
+#define COMFREYLOCK_JSON_READER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "comfreylock/types.h"
+
+/// Strict reading of JSON with comments into aggregates: unknown fields and
+/// wrong types are errors that name the field.
+namespace comfreylock {
+
+/// @return the parsed document.
+/// @throws InputError with line and column if `text` is not JSON.
+nlohmann::json ParseJson(std::string_view text, std::string_view origin);
+
+/// @param text such as `250ms`, `2s`, `5m` or `24h`.
+/// @return the duration, or a negative one if `text` is no duration.
+std::chrono::milliseconds ParseDuration(std::string_view text);
+
+/// Reads the fields of one JSON object. `Finish` reports unknown fields.
+class ObjectReader {
+ public:
+  /// @param path names the object in errors, such as `routes[2]`.
+  /// @throws InputError if `value` is no object.
+  ObjectReader(const nlohmann::json& value,
+               std::string origin,
+               std::string path);
+
+  bool Has(std::string_view field) const;
+
+  /// Each reader leaves `out` unchanged if an optional field is absent.
+  void Read(std::string_view field, std::string& out, bool required = false);
+  void Read(std::string_view field, bool& out);
+  void Read(std::string_view field,
+            uint32_t& out,
+            uint32_t lowest,
+            uint32_t highest);
+  void Read(std::string_view field,
+            uint64_t& out,
+            uint64_t lowest,
+            uint64_t highest);
+  void Read(std::string_view field, double& out, double lowest, double highest);
+  void Read(std::string_view field,
+            std::chrono::milliseconds& out,
+            std::chrono::milliseconds lowest,
+            std::chrono::milliseconds highest);
+  void Read(std::string_view field, std::vector<std::string>& out);
+
+  /// @return the member, or null if it is absent.
+  const nlohmann::json* Child(std::string_view field);
+
+  /// @return the path of a member, for errors and nested readers.
+  std::string PathOf(std::string_view field) const;
+
+  /// @throws InputError always, naming the field.
+  [[noreturn]] void Fail(std::string_view field,
+                         std::string_view wrong,
+                         std::string_view allowed) const;
+
+  /// @throws InputError if the object has a field that nobody read.
+  void Finish() const;
+
+  const std::string& origin() const { return origin_; }
+
+ private:
+  const nlohmann::json* Find(std::string_view field);
+
+  const nlohmann::json& value_;
+  std::string origin_;
+  std::string path_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_JSON_READER_H_
--- /dev/null
+++ b/src/peer_context.cc
@@ -0,0 +1,48 @@
+#include "peer_context.h"
+
+#include "crypto.h"
+
+namespace comfreylock {
+namespace {
+
+constexpr char kContextField[] = "Comfreylock-Context";
+constexpr char kReportField[] = "Comfreylock-Report";
+
+}  // namespace
+
+void SetContext(http::fields& fields,
+                const wire::CallContext& context,
+                const NodeHost& host) {
+  std::string data = context.SerializeAsString();
+  fields.set(kContextField,
+             ToBase64(data) + "." + ToBase64(host.Authenticate(data)));
+}
+
+std::optional<wire::CallContext> ReadContext(const http::fields& fields,
+                                             const NodeHost& host) {
+  std::string_view value = fields[kContextField];
+  size_t dot = value.find('.');
+  if (dot == std::string_view::npos)
+    return std::nullopt;
+  std::string data = FromBase64(value.substr(0, dot));
+  std::string mac = FromBase64(value.substr(dot + 1));
+  wire::CallContext context;
+  if (!EqualConstantTime(mac, host.Authenticate(data)) ||
+      !context.ParseFromString(data)) {
+    return std::nullopt;
+  }
+  return context;
+}
+
+void SetReport(http::fields& fields, const wire::AnswerReport& report) {
+  fields.set(kReportField, ToBase64(report.SerializeAsString()));
+}
+
+wire::AnswerReport ReadReport(const http::fields& fields) {
+  wire::AnswerReport report;
+  if (!report.ParseFromString(FromBase64(fields[kReportField])))
+    report.Clear();
+  return report;
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/peer_context.h
@@ -0,0 +1,28 @@
+#ifndef COMFREYLOCK_PEER_CONTEXT_H_
+#define COMFREYLOCK_PEER_CONTEXT_H_
+
+#include <optional>
+
+#include "node_host.h"
+
+/// The two header fields that nodes add to calls between them.
+namespace comfreylock {
+
+/// Adds the authenticated context of a call to a request between nodes.
+void SetContext(http::fields& fields,
+                const wire::CallContext& context,
+                const NodeHost& host);
+
+/// @return the context, or nothing if it is missing or not authentic.
+std::optional<wire::CallContext> ReadContext(const http::fields& fields,
+                                             const NodeHost& host);
+
+/// Adds the report to an answer between nodes.
+void SetReport(http::fields& fields, const wire::AnswerReport& report);
+
+/// @return the report; empty if there is none.
+wire::AnswerReport ReadReport(const http::fields& fields);
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_PEER_CONTEXT_H_
--- /dev/null
+++ b/src/reducer_fleet.cc
@@ -0,0 +1,170 @@
+#include "comfreylock/config.h"
+#include "comfreylock/reducer.h"
+
+/// Store, members and shutdown.
+namespace comfreylock {
+namespace {
+
+constexpr std::string_view kBundleKey = "/comfreylock/bundle/head";
+constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
+/// Pause between attempts to reach the store.
+constexpr std::chrono::milliseconds kStoreRetry = 500ms;
+
+}  // namespace
+
+void Node::AskStore(StoreRequest request, void (Node::*handler)(StoreResult)) {
+  StoreCallId id{++last_store_call_};
+  store_calls_[id] = handler;
+  effects_.push_back(CallStore{id, std::move(request)});
+}
+
+void Node::On(const StoreAnswered& event) {
+  auto found = store_calls_.find(event.call);
+  if (found == store_calls_.end())
+    return;
+  auto handler = found->second;
+  bool is_watch = std::holds_alternative<StoreWatchResult>(event.result);
+  if (!is_watch)
+    store_calls_.erase(found);
+  (this->*handler)(event.result);
+}
+
+void Node::StartStoreReads() {
+  next_store_try_ = now_ + kStoreRetry;
+  if (!announced_) {
+    wire::Member record;
+    record.set_node(identity_.node);
+    record.set_service(identity_.service);
+    record.set_zone(identity_.zone);
+    record.set_peer_address(identity_.peer_address);
+    record.set_control_address(identity_.control_address);
+    record.set_incarnation(identity_.incarnation);
+    std::string key =
+        std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
+    AskStore(StoreTransaction{{}, {{key, record.SerializeAsString()}}, {}},
+             &Node::OnAnnounced);
+  }
+  if (!watching_) {
+    AskStore(StoreRange{std::string(kBundleKey)}, &Node::OnBundleRead);
+    std::string prefix(kMembersPrefix);
+    AskStore(StoreRange{prefix, PrefixEnd(prefix)}, &Node::OnMembersRead);
+    watching_ = true;
+  }
+}
+
+void Node::OnAnnounced(StoreResult result) {
+  announced_ = std::holds_alternative<StoreTransactionResult>(result);
+}
+
+void Node::OnBundleRead(StoreResult result) {
+  const auto* range = std::get_if<StoreRangeResult>(&result);
+  if (!range) {
+    watching_ = false;
+    return;
+  }
+  for (const auto& entry : range->entries)
+    TakeBundle(entry);
+  AskStore(StoreWatch{std::string(kBundleKey), "", range->revision + 1},
+           &Node::OnBundleChanged);
+}
+
+void Node::OnBundleChanged(StoreResult result) {
+  const auto* watch = std::get_if<StoreWatchResult>(&result);
+  if (!watch) {
+    watching_ = false;
+    return;
+  }
+  for (const auto& change : watch->changes) {
+    if (!change.deleted)
+      TakeBundle(change.entry);
+  }
+}
+
+void Node::OnMembersRead(StoreResult result) {
+  const auto* range = std::get_if<StoreRangeResult>(&result);
+  if (!range) {
+    watching_ = false;
+    return;
+  }
+  for (const auto& entry : range->entries)
+    TakeMember(entry, false);
+  std::string prefix(kMembersPrefix);
+  AskStore(StoreWatch{prefix, PrefixEnd(prefix), range->revision + 1},
+           &Node::OnMembersChanged);
+}
+
+void Node::OnMembersChanged(StoreResult result) {
+  const auto* watch = std::get_if<StoreWatchResult>(&result);
+  if (!watch) {
+    watching_ = false;
+    return;
+  }
+  for (const auto& change : watch->changes)
+    TakeMember(change.entry, change.deleted);
+}
+
+void Node::TakeBundle(const StoreEntry& entry) {
+  try {
+    auto parsed =
+        std::make_shared<const Bundle>(ParseBundle(entry.value, entry.key));
+    if (bundle_ && parsed->version <= bundle_->version)
+      return;
+    bundle_ = std::move(parsed);
+  } catch (const InputError& error) {
+    effects_.push_back(
+        Log{LogCode::kBundleRejected, {{"error", error.what()}}});
+    return;
+  }
+  effects_.push_back(Log{LogCode::kBundleInForce,
+                         {{"version", std::to_string(bundle_->version)}}});
+  auto rule = bundle_->services.find(identity_.service);
+  if (rule == bundle_->services.end())
+    return;
+  if (admission_)
+    admission_->Configure(rule->second);
+  else
+    admission_ = std::make_unique<Admission>(rule->second, now_);
+}
+
+void Node::TakeMember(const StoreEntry& entry, bool deleted) {
+  NodeId node = entry.key.substr(entry.key.rfind('/') + 1);
+  if (deleted) {
+    members_.erase(node);
+    router_.RemoveTarget(node);
+  } else {
+    wire::Member member;
+    if (!member.ParseFromString(entry.value))
+      return;
+    members_[node] = member;
+    if (!member.service().empty()) {
+      router_.SetTarget(
+          {node, member.service(), member.zone(), member.peer_address()}, now_);
+    }
+  }
+  effects_.push_back(Log{LogCode::kMemberChanged,
+                         {{"node", node}, {"left", deleted ? "yes" : "no"}}});
+}
+
+void Node::On(const PeerMessageReceived& /*event*/) {}
+
+void Node::On(const DrainRequested& /*event*/) {
+  if (draining_)
+    return;
+  draining_ = true;
+  effects_.push_back(Log{LogCode::kNodeDraining, {}});
+  std::string key =
+      std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
+  AskStore(StoreTransaction{{}, {}, {{key}}}, &Node::OnAnnounced);
+  announced_ = true;
+  FinishDrain();
+}
+
+void Node::FinishDrain() {
+  if (!draining_ || exited_ || !calls_.empty() || !works_.empty())
+    return;
+  exited_ = true;
+  effects_.push_back(Log{LogCode::kNodeStopped, {}});
+  effects_.push_back(Exit{});
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,41 @@
+#ifndef COMFREYLOCK_SETTINGS_H_
+#define COMFREYLOCK_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Settings of one node, read from a JSON file with comments.
+namespace comfreylock {
+
+/// All addresses are IP:PORT.
+struct NodeSettings {
+  std::string node;  ///< Unique in the fleet.
+  std::string zone;
+  std::string service;  ///< Service of the target; empty without target.
+  std::string caller_address;
+  std::string onward_address;
+  std::string peer_address;
+  std::string control_address;
+  std::string operator_address;
+  std::string target_address;
+  std::string store_address;
+  std::string fleet_secret_hex;    ///< Authenticates nodes to each other.
+  std::vector<std::string> seeds;  ///< Control addresses of first peers.
+  std::string log_file;            ///< Empty: standard error.
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds idle_timeout{60'000};
+};
+
+/// @param text JSON with comments.
+/// @param origin file named in errors.
+/// @throws InputError naming the field, what was wrong and what is allowed.
+NodeSettings ParseNodeSettings(std::string_view text, std::string_view origin);
+
+/// @throws InputError if the file cannot be read.
+std::string ReadFile(const std::string& path);
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_SETTINGS_H_
--- /dev/null
+++ b/src/shell.cc
@@ -0,0 +1,173 @@
+#include "shell.h"
+
+#include <time.h>
+
+#include <csignal>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "comfreylock/config.h"
+#include "crypto.h"
+#include "log_writer.h"
+
+namespace comfreylock {
+namespace {
+
+WallTime ReadWallClock() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+NodeIdentity IdentityOf(const NodeSettings& settings) {
+  NodeIdentity identity;
+  identity.node = settings.node;
+  identity.service = settings.service;
+  identity.zone = settings.zone;
+  identity.peer_address = settings.peer_address;
+  identity.control_address = settings.control_address;
+  identity.seeds = settings.seeds;
+  identity.incarnation =
+      static_cast<uint64_t>(ReadWallClock().time_since_epoch().count());
+  identity.seed =
+      std::hash<std::string>()(settings.node) ^ identity.incarnation;
+  return identity;
+}
+
+}  // namespace
+
+TimePoint ReadNodeClock() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  auto since =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return TimePoint(
+      std::chrono::duration_cast<std::chrono::microseconds>(since));
+}
+
+Shell::Shell(NodeSettings settings)
+    : settings_(std::move(settings)),
+      fleet_secret_(FromHex(settings_.fleet_secret_hex)),
+      signals_(context_, SIGTERM, SIGINT),
+      node_(std::make_unique<Node>(IdentityOf(settings_), ReadNodeClock())),
+      edge_(context_,
+            *this,
+            {settings_.header_timeout, settings_.idle_timeout}),
+      peer_(context_, *this, settings_.target_address),
+      store_(context_.get_executor(),
+             settings_.store_address,
+             [this](StoreCallId call, StoreResult result) {
+               Feed(StoreAnswered{call, std::move(result)});
+             }) {}
+
+Shell::~Shell() = default;
+
+void Shell::Run() {
+  edge_.Listen(settings_.caller_address, false);
+  edge_.Listen(settings_.onward_address, true);
+  peer_.Listen(settings_.peer_address);
+  asio::co_spawn(context_, Ticks(), asio::detached);
+  asio::co_spawn(context_, Signals(), asio::detached);
+  WriteLog(Log{LogCode::kNodeStarted,
+               {{"node", settings_.node}, {"service", settings_.service}}});
+  context_.run();
+}
+
+void Shell::Feed(EventBody event) {
+  Effects effects =
+      node_->Reduce(Event{ReadNodeClock(), ReadWallClock(), std::move(event)});
+  for (const auto& effect : effects)
+    std::visit([this](const auto& body) { Apply(body); }, effect);
+}
+
+wire::AnswerReport Shell::ReportFor(WorkId work) const {
+  return node_->ReportFor(work);
+}
+
+std::string Shell::KeySalt() const {
+  const Bundle* bundle = node_->bundle();
+  return bundle ? bundle->key_salt : std::string();
+}
+
+std::string Shell::Authenticate(std::string_view data) const {
+  return HmacSha256(fleet_secret_, data);
+}
+
+IoDeadline Shell::ToIoDeadline(TimePoint time) const {
+  return std::chrono::steady_clock::now() + (time - ReadNodeClock());
+}
+
+uint64_t Shell::NextId() {
+  return ++last_id_;
+}
+
+void Shell::Apply(const RefuseCall& effect) {
+  edge_.Apply(effect);
+}
+
+void Shell::Apply(const Dispatch& effect) {
+  edge_.Apply(effect);
+}
+
+void Shell::Apply(const DeliverAnswer& effect) {
+  edge_.Apply(effect);
+}
+
+void Shell::Apply(const ReplayAnswer& effect) {
+  edge_.Apply(effect);
+}
+
+void Shell::Apply(const CancelAttempt& effect) {
+  edge_.Apply(effect);
+}
+
+void Shell::Apply(const StartWork& effect) {
+  peer_.Apply(effect);
+}
+
+void Shell::Apply(const RejectWork& effect) {
+  peer_.Apply(effect);
+}
+
+void Shell::Apply(const AbortWork& effect) {
+  peer_.Apply(effect);
+}
+
+void Shell::Apply(const SendToPeer& /*effect*/) {}
+
+void Shell::Apply(const CallStore& effect) {
+  store_.Start(effect.call, effect.request, effect.timeout);
+}
+
+void Shell::Apply(const Log& effect) {
+  WriteLog(effect);
+}
+
+void Shell::Apply(const Exit& /*effect*/) {
+  edge_.StopAccepting();
+  context_.stop();
+}
+
+asio::awaitable<void> Shell::Ticks() {
+  asio::steady_timer timer(context_);
+  while (true) {
+    timer.expires_after(kTickInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    Feed(Tick{});
+  }
+}
+
+asio::awaitable<void> Shell::Signals() {
+  while (true) {
+    boost::system::error_code ignored;
+    co_await signals_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    Feed(DrainRequested{});
+  }
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/shell.h
@@ -0,0 +1,69 @@
+#ifndef COMFREYLOCK_SHELL_H_
+#define COMFREYLOCK_SHELL_H_
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "comfreylock/reducer.h"
+#include "http_edge.h"
+#include "http_peer.h"
+#include "settings.h"
+#include "store_etcd.h"
+
+/// Runs one node: feeds events to the reducer and carries out its effects.
+namespace comfreylock {
+
+class Shell : public NodeHost {
+ public:
+  explicit Shell(NodeSettings settings);
+  ~Shell() override;
+
+  /// Serves until a graceful shutdown has finished.
+  void Run();
+
+  // NodeHost:
+  void Feed(EventBody event) override;
+  wire::AnswerReport ReportFor(WorkId work) const override;
+  std::string KeySalt() const override;
+  std::string Authenticate(std::string_view data) const override;
+  IoDeadline ToIoDeadline(TimePoint time) const override;
+  uint64_t NextId() override;
+
+ private:
+  void Apply(const RefuseCall& effect);
+  void Apply(const Dispatch& effect);
+  void Apply(const DeliverAnswer& effect);
+  void Apply(const ReplayAnswer& effect);
+  void Apply(const CancelAttempt& effect);
+  void Apply(const StartWork& effect);
+  void Apply(const RejectWork& effect);
+  void Apply(const AbortWork& effect);
+  void Apply(const SendToPeer& effect);
+  void Apply(const CallStore& effect);
+  void Apply(const Log& effect);
+  void Apply(const Exit& effect);
+
+  asio::awaitable<void> Ticks();
+  asio::awaitable<void> Signals();
+
+  NodeSettings settings_;
+  std::string fleet_secret_;
+  asio::io_context context_{1};
+  asio::signal_set signals_;
+  std::unique_ptr<Node> node_;
+  HttpEdge edge_;
+  HttpPeer peer_;
+  EtcdStore store_;
+  uint64_t last_id_ = 0;
+};
+
+/// @return the present time of NodeClock (CLOCK_BOOTTIME).
+TimePoint ReadNodeClock();
+
+}  // namespace comfreylock
+
+#endif  // COMFREYLOCK_SHELL_H_
--- /dev/null
+++ b/src/store_etcd.cc
@@ -0,0 +1,260 @@
+#include "store_etcd.h"
+
+#include <charconv>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "comfreylock/config.h"
+#include "crypto.h"
+
+namespace comfreylock {
+namespace {
+
+using nlohmann::json;
+
+/// Idle connections to the store are closed after this time.
+constexpr std::chrono::milliseconds kIdleLimit = 30s;
+/// Longest accepted answer of the store, bytes.
+constexpr size_t kMaxAnswerBytes = 64 << 20;
+
+/// The gateway writes 64-bit numbers as text.
+int64_t NumberOf(const json& object, const char* field) {
+  auto found = object.find(field);
+  if (found == object.end())
+    return 0;
+  if (found->is_number_integer())
+    return found->get<int64_t>();
+  if (!found->is_string())
+    return 0;
+  const auto& text = found->get_ref<const std::string&>();
+  int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+StoreEntry EntryOf(const json& value) {
+  StoreEntry entry;
+  entry.key = FromBase64(value.value("key", ""));
+  entry.value = FromBase64(value.value("value", ""));
+  entry.create_revision = NumberOf(value, "create_revision");
+  entry.mod_revision = NumberOf(value, "mod_revision");
+  entry.lease = NumberOf(value, "lease");
+  return entry;
+}
+
+int64_t RevisionOf(const json& answer) {
+  auto header = answer.find("header");
+  return header == answer.end() ? 0 : NumberOf(*header, "revision");
+}
+
+json RangeBody(const StoreRange& range) {
+  json body = {{"key", ToBase64(range.key)}};
+  if (!range.range_end.empty())
+    body["range_end"] = ToBase64(range.range_end);
+  if (range.limit > 0)
+    body["limit"] = std::to_string(range.limit);
+  return body;
+}
+
+json TransactionBody(const StoreTransaction& transaction) {
+  json compares = json::array();
+  for (const auto& compare : transaction.compares) {
+    compares.push_back(
+        {{"key", ToBase64(compare.key)},
+         {"target", "MOD"},
+         {"result", "EQUAL"},
+         {"mod_revision", std::to_string(compare.mod_revision)}});
+  }
+  json operations = json::array();
+  for (const auto& put : transaction.puts) {
+    json body = {{"key", ToBase64(put.key)}, {"value", ToBase64(put.value)}};
+    if (put.lease != 0)
+      body["lease"] = std::to_string(put.lease);
+    operations.push_back({{"request_put", body}});
+  }
+  for (const auto& removal : transaction.deletes) {
+    json body = {{"key", ToBase64(removal.key)}};
+    if (!removal.range_end.empty())
+      body["range_end"] = ToBase64(removal.range_end);
+    operations.push_back({{"request_delete_range", body}});
+  }
+  return {{"compare", compares}, {"success", operations}};
+}
+
+StoreRangeResult RangeResultOf(const json& answer) {
+  StoreRangeResult result;
+  result.revision = RevisionOf(answer);
+  result.more = answer.value("more", false);
+  for (const auto& value : answer.value("kvs", json::array()))
+    result.entries.push_back(EntryOf(value));
+  return result;
+}
+
+StoreWatchResult WatchResultOf(const json& answer) {
+  StoreWatchResult result;
+  result.revision = RevisionOf(answer);
+  result.compacted_revision = NumberOf(answer, "compact_revision");
+  for (const auto& event : answer.value("events", json::array())) {
+    StoreChange change;
+    change.deleted = event.value("type", "PUT") == "DELETE";
+    change.entry = EntryOf(event.value("kv", json::object()));
+    result.changes.push_back(std::move(change));
+  }
+  return result;
+}
+
+bool IsWrite(const StoreRequest& request) {
+  return !std::holds_alternative<StoreRange>(request);
+}
+
+IoDeadline After(std::chrono::milliseconds timeout) {
+  return std::chrono::steady_clock::now() + timeout;
+}
+
+RequestHead PostHead(const std::string& path,
+                     const std::string& host,
+                     size_t length) {
+  RequestHead head;
+  head.method(http::verb::post);
+  head.target(path);
+  head.version(11);
+  head.set(http::field::host, host);
+  head.set(http::field::content_type, "application/json");
+  SetFraming(head, length);
+  return head;
+}
+
+}  // namespace
+
+EtcdStore::EtcdStore(asio::any_io_executor executor,
+                     std::string address,
+                     Callback callback)
+    : executor_(executor),
+      address_(std::move(address)),
+      callback_(std::move(callback)),
+      pool_(executor, kIdleLimit) {}
+
+void EtcdStore::Start(StoreCallId call,
+                      StoreRequest request,
+                      std::chrono::milliseconds timeout) {
+  if (const auto* cancel = std::get_if<StoreCancelWatch>(&request)) {
+    auto found = watches_.find(cancel->watch);
+    if (found != watches_.end())
+      found->second->Close();
+    return;
+  }
+  if (const auto* watch = std::get_if<StoreWatch>(&request)) {
+    asio::co_spawn(executor_, RunWatch(call, *watch), asio::detached);
+    return;
+  }
+  asio::co_spawn(
+      executor_,
+      [this, call, request = std::move(request),
+       timeout]() -> asio::awaitable<void> {
+        StoreResult result = co_await Run(request, After(timeout));
+        callback_(call, std::move(result));
+      },
+      asio::detached);
+}
+
+asio::awaitable<StoreResult> EtcdStore::Run(const StoreRequest& request,
+                                            IoDeadline deadline) {
+  bool sent = false;
+  try {
+    if (const auto* range = std::get_if<StoreRange>(&request)) {
+      co_return RangeResultOf(
+          co_await Post("/v3/kv/range", RangeBody(*range), deadline, sent));
+    }
+    if (const auto* transaction = std::get_if<StoreTransaction>(&request)) {
+      json answer = co_await Post("/v3/kv/txn", TransactionBody(*transaction),
+                                  deadline, sent);
+      co_return StoreTransactionResult{answer.value("succeeded", false),
+                                       RevisionOf(answer)};
+    }
+    std::string path = "/v3/lease/grant";
+    json body = json::object();
+    if (const auto* grant = std::get_if<StoreLeaseGrant>(&request)) {
+      body["TTL"] = std::to_string(grant->ttl.count());
+    } else if (const auto* keep = std::get_if<StoreLeaseKeepAlive>(&request)) {
+      path = "/v3/lease/keepalive";
+      body["ID"] = std::to_string(keep->lease);
+    } else {
+      path = "/v3/lease/revoke";
+      body["ID"] = std::to_string(std::get<StoreLeaseRevoke>(request).lease);
+    }
+    json answer = co_await Post(path, body, deadline, sent);
+    // Keep-alive is a stream at the gateway, so its answer is wrapped.
+    if (answer.contains("result"))
+      answer = answer["result"];
+    co_return StoreLeaseResult{NumberOf(answer, "ID"),
+                               std::chrono::seconds(NumberOf(answer, "TTL"))};
+  } catch (const std::exception& error) {
+    co_return StoreFailure{error.what(), sent && IsWrite(request)};
+  }
+}
+
+asio::awaitable<json> EtcdStore::Post(std::string path,
+                                      json body,
+                                      IoDeadline deadline,
+                                      bool& sent) {
+  std::string text = body.dump();
+  auto connection = co_await pool_.Acquire(address_, deadline);
+  BufferedBody content(text);
+  co_await connection->Send(PostHead(path, address_, text.size()), &content,
+                            deadline, sent);
+  ResponseHead head = co_await connection->ReceiveHead(false);
+  bool whole = false;
+  std::string answer =
+      co_await ReadUpTo(connection->body(), kMaxAnswerBytes, whole);
+  pool_.Release(connection);
+  if (!whole || head.result() != http::status::ok) {
+    throw Error("the store answered " + std::to_string(head.result_int()) +
+                " to " + path);
+  }
+  co_return json::parse(answer);
+}
+
+asio::awaitable<void> EtcdStore::RunWatch(StoreCallId call, StoreWatch watch) {
+  StoreFailure failure{"the watch ended", false};
+  try {
+    // A watch stays open for days; TCP tells when the store is gone, and the
+    // reducer re-reads from time to time.
+    IoDeadline deadline = After(24h);
+    auto connection = std::make_shared<HttpConnection>(executor_, address_);
+    co_await connection->Connect(After(2s));
+    watches_[call] = connection;
+    json create = {{"key", ToBase64(watch.key)},
+                   {"start_revision", std::to_string(watch.start_revision)}};
+    if (!watch.range_end.empty())
+      create["range_end"] = ToBase64(watch.range_end);
+    std::string text = json({{"create_request", create}}).dump();
+    BufferedBody content(text);
+    bool sent = false;
+    co_await connection->Send(PostHead("/v3/watch", address_, text.size()),
+                              &content, deadline, sent);
+    co_await connection->ReceiveHead(false);
+    std::string pending;
+    while (true) {
+      std::string piece = co_await connection->body().Read();
+      if (piece.empty())
+        break;
+      pending += piece;
+      size_t end = 0;
+      while ((end = pending.find('\n')) != std::string::npos) {
+        json message = json::parse(pending.substr(0, end));
+        pending.erase(0, end + 1);
+        auto result = message.find("result");
+        if (result == message.end())
+          throw Error("the watch failed: " + message.dump());
+        callback_(call, WatchResultOf(*result));
+      }
+    }
+  } catch (const std::exception& error) {
+    failure.message = error.what();
+  }
+  watches_.erase(call);
+  callback_(call, failure);
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/standins/standin_store.cc
@@ -0,0 +1,289 @@
+#include "standin_store.h"
+
+#include <cstdlib>
+
+#include <boost/asio/write.hpp>
+
+#include "crypto.h"
+
+namespace comfreylock::standins {
+namespace {
+
+int64_t Number(const nlohmann::json& object, const char* field) {
+  auto found = object.find(field);
+  if (found == object.end())
+    return 0;
+  if (found->is_number_integer())
+    return found->get<int64_t>();
+  return std::atoll(found->get<std::string>().c_str());
+}
+
+std::string Bytes(const nlohmann::json& object, const char* field) {
+  return FromBase64(object.value(field, ""));
+}
+
+bool InRange(const std::string& key,
+             const std::string& from,
+             const std::string& end) {
+  return end.empty() ? key == from : key >= from && key < end;
+}
+
+}  // namespace
+
+StandinStore::StandinStore(asio::io_context& context)
+    : context_(context), changed_(context) {
+  changed_.expires_at(Clock::time_point::max());
+}
+
+asio::awaitable<void> StandinStore::Handle(Exchange& exchange) {
+  std::string path(exchange.request.target());
+  if (path.starts_with("/standin/")) {
+    co_await Control(exchange);
+    co_return;
+  }
+  ++counters_[path];
+  if (Away()) {
+    ++counters_["refused_away"];
+    exchange.keep_alive = false;
+    co_return;
+  }
+  if (delay_.count() > 0)
+    co_await Pause(delay_);
+  ExpireLeases();
+  if (path == "/v3/watch") {
+    co_await Watch(exchange);
+    co_return;
+  }
+  Json body = Json::parse(exchange.request.body(), nullptr, false);
+  if (body.is_discarded()) {
+    co_await Reply(exchange, 400, R"({"error":"not JSON"})");
+    co_return;
+  }
+  using Method = Json (StandinStore::*)(const Json&);
+  static const std::map<std::string, Method, std::less<>> kMethods = {
+      {"/v3/kv/range", &StandinStore::Range},
+      {"/v3/kv/txn", &StandinStore::Transaction},
+      {"/v3/lease/grant", &StandinStore::Grant},
+      {"/v3/lease/keepalive", &StandinStore::KeepAlive},
+      {"/v3/lease/revoke", &StandinStore::Revoke}};
+  auto method = kMethods.find(path);
+  if (method == kMethods.end()) {
+    co_await Reply(exchange, 404, R"({"error":"no such method"})");
+    co_return;
+  }
+  Json answer = (this->*method->second)(body);
+  if (lose_answers_ > 0 && path != "/v3/kv/range") {
+    --lose_answers_;
+    ++counters_["lost_answers"];
+    exchange.keep_alive = false;
+    co_return;
+  }
+  co_await Reply(exchange, 200, answer.dump());
+}
+
+StandinStore::Json StandinStore::Range(const Json& body) {
+  std::string from = Bytes(body, "key");
+  std::string end = Bytes(body, "range_end");
+  int64_t limit = Number(body, "limit");
+  Json kvs = Json::array();
+  bool more = false;
+  for (auto it = values_.lower_bound(from); it != values_.end(); ++it) {
+    if (!InRange(it->first, from, end))
+      break;
+    if (limit > 0 && static_cast<int64_t>(kvs.size()) >= limit) {
+      more = true;
+      break;
+    }
+    kvs.push_back(EntryJson(it->first, it->second));
+  }
+  return {{"header", Header()}, {"kvs", kvs}, {"more", more}};
+}
+
+StandinStore::Json StandinStore::Transaction(const Json& body) {
+  bool holds = true;
+  for (const auto& compare : body.value("compare", Json::array())) {
+    auto found = values_.find(Bytes(compare, "key"));
+    int64_t actual = found == values_.end() ? 0 : found->second.mod_revision;
+    holds = holds && actual == Number(compare, "mod_revision");
+  }
+  if (!holds)
+    return {{"header", Header()}, {"succeeded", false}};
+  const Json operations = body.value("success", Json::array());
+  if (!operations.empty())
+    ++revision_;
+  for (const auto& operation : operations) {
+    if (operation.contains("request_put")) {
+      const auto& put = operation["request_put"];
+      Put(Bytes(put, "key"), Bytes(put, "value"), Number(put, "lease"));
+    } else if (operation.contains("request_delete_range")) {
+      const auto& removal = operation["request_delete_range"];
+      Delete(Bytes(removal, "key"), Bytes(removal, "range_end"));
+    }
+  }
+  changed_.cancel();
+  return {{"header", Header()}, {"succeeded", true}};
+}
+
+StandinStore::Json StandinStore::Grant(const Json& body) {
+  std::chrono::seconds ttl(Number(body, "TTL"));
+  int64_t id = ++last_lease_;
+  leases_[id] = {ttl, Clock::now() + ttl};
+  return {{"header", Header()},
+          {"ID", std::to_string(id)},
+          {"TTL", std::to_string(ttl.count())}};
+}
+
+StandinStore::Json StandinStore::KeepAlive(const Json& body) {
+  int64_t id = Number(body, "ID");
+  Json result = {{"header", Header()}, {"ID", std::to_string(id)}};
+  auto found = leases_.find(id);
+  if (found != leases_.end()) {
+    found->second.expires = Clock::now() + found->second.ttl;
+    result["TTL"] = std::to_string(found->second.ttl.count());
+  }
+  return {{"result", result}};
+}
+
+StandinStore::Json StandinStore::Revoke(const Json& body) {
+  auto found = leases_.find(Number(body, "ID"));
+  if (found != leases_.end()) {
+    found->second.expires = Clock::time_point::min();
+    ExpireLeases();
+  }
+  return {{"header", Header()}};
+}
+
+asio::awaitable<void> StandinStore::Watch(Exchange& exchange) {
+  exchange.keep_alive = false;
+  Json body = Json::parse(exchange.request.body(), nullptr, false);
+  Json create = body.is_object() ? body.value("create_request", Json::object())
+                                 : Json::object();
+  std::string from = Bytes(create, "key");
+  std::string end = Bytes(create, "range_end");
+  int64_t next = Number(create, "start_revision");
+  if (next == 0)
+    next = revision_ + 1;
+  http::response<http::empty_body> head(http::status::ok, 11);
+  head.set(http::field::content_type, "application/json");
+  head.chunked(true);
+  http::response_serializer<http::empty_body> serializer(head);
+  co_await http::async_write_header(exchange.stream, serializer,
+                                    asio::use_awaitable);
+  Json created = {{"result", {{"header", Header()}, {"created", true}}}};
+  std::string pending = created.dump() + "\n";
+  while (!Away()) {
+    Json events = Json::array();
+    for (const auto& change : changes_) {
+      if (change.revision < next || !InRange(change.key, from, end))
+        continue;
+      events.push_back({{"type", change.deleted ? "DELETE" : "PUT"},
+                        {"kv", EntryJson(change.key, change.value)}});
+    }
+    next = revision_ + 1;
+    if (!events.empty()) {
+      Json message = {{"result", {{"header", Header()}, {"events", events}}}};
+      pending += message.dump() + "\n";
+    }
+    if (!pending.empty()) {
+      co_await asio::async_write(exchange.stream,
+                                 http::make_chunk(asio::buffer(pending)),
+                                 asio::use_awaitable);
+      pending.clear();
+      continue;
+    }
+    boost::system::error_code ignored;
+    asio::steady_timer poll(context_, std::chrono::milliseconds(20));
+    co_await poll.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    ExpireLeases();
+  }
+}
+
+asio::awaitable<void> StandinStore::Control(Exchange& exchange) {
+  std::string target(exchange.request.target());
+  std::string path = target.substr(0, target.find('?'));
+  std::chrono::milliseconds time(std::atoll(QueryValue(target, "ms").c_str()));
+  if (path == "/standin/outage")
+    away_until_ = Clock::now() + time;
+  else if (path == "/standin/delay")
+    delay_ = time;
+  else if (path == "/standin/lose-answers")
+    lose_answers_ = std::atoi(QueryValue(target, "count").c_str());
+  co_await Reply(exchange, 200, Json(counters_).dump());
+}
+
+asio::awaitable<void> StandinStore::Pause(std::chrono::milliseconds time) {
+  asio::steady_timer timer(context_, time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+StandinStore::Json StandinStore::Header() const {
+  return {{"cluster_id", "1"},
+          {"member_id", "1"},
+          {"revision", std::to_string(revision_)},
+          {"raft_term", "1"}};
+}
+
+StandinStore::Json StandinStore::EntryJson(const std::string& key,
+                                           const Value& value) const {
+  Json entry = {{"key", ToBase64(key)},
+                {"create_revision", std::to_string(value.create_revision)},
+                {"mod_revision", std::to_string(value.mod_revision)},
+                {"version", std::to_string(value.version)},
+                {"value", ToBase64(value.data)}};
+  if (value.lease != 0)
+    entry["lease"] = std::to_string(value.lease);
+  return entry;
+}
+
+void StandinStore::Put(const std::string& key,
+                       std::string data,
+                       int64_t lease) {
+  Value& value = values_[key];
+  if (value.version == 0)
+    value.create_revision = revision_;
+  value.data = std::move(data);
+  value.mod_revision = revision_;
+  ++value.version;
+  value.lease = lease;
+  changes_.push_back({revision_, key, value, false});
+}
+
+int64_t StandinStore::Delete(const std::string& key,
+                             const std::string& range_end) {
+  int64_t count = 0;
+  auto it = values_.lower_bound(key);
+  while (it != values_.end() && InRange(it->first, key, range_end)) {
+    Value removed;
+    removed.mod_revision = revision_;
+    changes_.push_back({revision_, it->first, removed, true});
+    it = values_.erase(it);
+    ++count;
+  }
+  return count;
+}
+
+void StandinStore::ExpireLeases() {
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (lease->second.expires > Clock::now()) {
+      ++lease;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : values_) {
+      if (value.lease == lease->first)
+        keys.push_back(key);
+    }
+    if (!keys.empty())
+      ++revision_;
+    for (const auto& key : keys)
+      Delete(key, "");
+    lease = leases_.erase(lease);
+  }
+}
+
+bool StandinStore::Away() const {
+  return Clock::now() < away_until_;
+}
+
+}  // namespace comfreylock::standins
