--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -14,6 +14,7 @@
 #include "comfreylock/bundle.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
+#include "comfreylock/partition.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/types.h"
 
@@ -125,6 +126,7 @@
 
   // Fleet.
   void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
+  void ReadBundle();
   void OnBundleRead(StoreResult result);
   void OnBundleChanged(StoreResult result);
   void OnMembersRead(StoreResult result);
@@ -148,6 +150,7 @@
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<std::string, WorkId> work_by_request_;
   std::map<NodeId, wire::Member> members_;
+  PartitionTable partitions_;
 
   uint64_t last_store_call_ = 0;
   std::unordered_map<StoreCallId, void (Node::*)(StoreResult)> store_calls_;
--- a/include/comfreylock/types.h
+++ b/include/comfreylock/types.h
@@ -73,6 +73,7 @@
   kNoTarget,
   kStoreUnavailable,
   kClaimsFull,
+  kAnswerNotKept,
   kQuarantined,
   kIsolated,
   kNoBundle,
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -5,7 +5,6 @@
 namespace comfreylock {
 namespace {
 
-constexpr std::string_view kBundleKey = "/comfreylock/bundle/head";
 constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to reach the store.
 constexpr std::chrono::milliseconds kStoreRetry = 500ms;
@@ -45,7 +44,7 @@
              &Node::OnAnnounced);
   }
   if (!watching_) {
-    AskStore(StoreRange{std::string(kBundleKey)}, &Node::OnBundleRead);
+    ReadBundle();
     std::string prefix(kMembersPrefix);
     AskStore(StoreRange{prefix, PrefixEnd(prefix)}, &Node::OnMembersRead);
     watching_ = true;
@@ -56,30 +55,6 @@
   announced_ = std::holds_alternative<StoreTransactionResult>(result);
 }
 
-void Node::OnBundleRead(StoreResult result) {
-  const auto* range = std::get_if<StoreRangeResult>(&result);
-  if (!range) {
-    watching_ = false;
-    return;
-  }
-  for (const auto& entry : range->entries)
-    TakeBundle(entry);
-  AskStore(StoreWatch{std::string(kBundleKey), "", range->revision + 1},
-           &Node::OnBundleChanged);
-}
-
-void Node::OnBundleChanged(StoreResult result) {
-  const auto* watch = std::get_if<StoreWatchResult>(&result);
-  if (!watch) {
-    watching_ = false;
-    return;
-  }
-  for (const auto& change : watch->changes) {
-    if (!change.deleted)
-      TakeBundle(change.entry);
-  }
-}
-
 void Node::OnMembersRead(StoreResult result) {
   const auto* range = std::get_if<StoreRangeResult>(&result);
   if (!range) {
@@ -103,29 +78,6 @@
     TakeMember(change.entry, change.deleted);
 }
 
-void Node::TakeBundle(const StoreEntry& entry) {
-  try {
-    auto parsed =
-        std::make_shared<const Bundle>(ParseBundle(entry.value, entry.key));
-    if (bundle_ && parsed->version <= bundle_->version)
-      return;
-    bundle_ = std::move(parsed);
-  } catch (const InputError& error) {
-    effects_.push_back(
-        Log{LogCode::kBundleRejected, {{"error", error.what()}}});
-    return;
-  }
-  effects_.push_back(Log{LogCode::kBundleInForce,
-                         {{"version", std::to_string(bundle_->version)}}});
-  auto rule = bundle_->services.find(identity_.service);
-  if (rule == bundle_->services.end())
-    return;
-  if (admission_)
-    admission_->Configure(rule->second);
-  else
-    admission_ = std::make_unique<Admission>(rule->second, now_);
-}
-
 void Node::TakeMember(const StoreEntry& entry, bool deleted) {
   NodeId node = entry.key.substr(entry.key.rfind('/') + 1);
   if (deleted) {
--- a/src/types.cc
+++ b/src/types.cc
@@ -39,6 +39,8 @@
          true},
         {"claims_full", 503, "No more once-only requests can be recorded",
          true},
+        {"answer_not_kept", 409,
+         "The request ran; its answer was too large to be kept", false},
         {"quarantined", 503, "This request crashed targets", true},
         {"isolated", 503, "This node is cut off from the fleet", true},
         {"no_bundle", 503, "This node has no bundle yet", true},
