--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -132,6 +132,8 @@
         self.write_description()
 
     def _load_shape(self, shape, bundle):
+        if isinstance(shape, dict):
+            return shape["upstreams"], shape["bundle"]
         if shape in SHAPES:
             loaded = bundle or read_commented_json(
                 ROOT / "examples" / shape / "bundle.json")
