--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -111,7 +111,7 @@
 
     def __init__(self, state_dir, shape="herb", external_targets=None,
                  external_store=None, target_options=None, bundle=None,
-                 node_options=None):
+                 node_options=None, with_targets=True):
         self.state_dir = pathlib.Path(state_dir)
         self.state_dir.mkdir(parents=True, exist_ok=True)
         self.processes = []
@@ -119,6 +119,7 @@
         self.salt = secrets.token_hex(16)
         self.keys = {}
         self.target_options = target_options or {}
+        self.with_targets = with_targets
         self.node_options = node_options or {}
         self.external_targets = dict(external_targets or {})
         self.services, self.bundle = self._load_shape(shape, bundle)
@@ -158,7 +159,9 @@
         name = "%s-%d" % (service, index)
         zone = ZONES[index % len(ZONES)]
         target, caller, onward, peer, control, operator = free_addresses(6)
-        if service in self.external_targets and index == 0:
+        if not self.with_targets:
+            target = ""
+        elif service in self.external_targets and index == 0:
             target = self.external_targets.pop(service)
         else:
             options = self.target_options.get(service, [])
@@ -171,7 +174,8 @@
             self.processes.append(process)
             self.targets[name] = process
         settings = {
-            "node": name, "zone": zone, "service": service,
+            "node": name, "zone": zone,
+            "service": service if target else "",
             "caller_address": caller, "onward_address": onward,
             "peer_address": peer, "control_address": control,
             "operator_address": operator, "target_address": target,
