Route by power of two choices among at most 20 targets

Cause: the router copied a vector of all targets for each choice, trusted every report for ever, and never left a broken target.

Change: a node uses at most 20 targets of a service, by rendezvous hash of its own id and the target. Of these at least 5 are in other zones if there are any, so that a zone of 20 or more targets can still spill over. Stale reports count less, unknown targets count as average, new ones ramp for 2 s, and 5 broken attempts in a row eject a target unless a third is ejected already or the service fails as a whole.

--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -29,6 +29,38 @@
 /// Number of importance classes; 0 is the most important.
 inline constexpr uint32_t kImportanceClasses = 4;
 
+// Admission and shedding.
+/// Answers needed before the limit of a target is judged.
+inline constexpr uint32_t kLimitWindowSamples = 32;
+/// Steps of shed priority within one importance.
+inline constexpr uint32_t kShedSteps = 8;
+/// Highest shed level; priority 0 is never refused by level.
+inline constexpr uint32_t kMaxShedLevel = kImportanceClasses * kShedSteps - 1;
+/// Window over which the queueing delay is judged.
+inline constexpr std::chrono::milliseconds kShedWindow = 100ms;
+/// Standing queueing delay above which the shed level rises.
+inline constexpr std::chrono::milliseconds kShedDelay = 5ms;
+/// Time without news after which a learnt level falls by one step.
+inline constexpr std::chrono::seconds kShedDecay = 1s;
+/// One in so many refused calls is let through to keep the level fresh.
+inline constexpr uint32_t kShedProbeInterval = 50;
+
+// Routing.
+/// Targets of one service that a node sends to.
+inline constexpr size_t kTargetsPerService = 20;
+/// Of these, at least so many are in other zones if there are any.
+inline constexpr size_t kRemoteTargetsPerService = 5;
+/// Share of the limit above which traffic spills to other zones.
+inline constexpr double kSpillLoad = 0.8;
+/// Age above which a target's report counts less.
+inline constexpr std::chrono::seconds kReportFresh = 1s;
+/// Time over which a new target gets its full part of the traffic.
+inline constexpr std::chrono::seconds kRouteRamp = 2s;
+/// Consecutive broken attempts after which a target is ejected.
+inline constexpr uint32_t kEjectAfter = 5;
+inline constexpr std::chrono::seconds kShortestEjection = 1s;
+inline constexpr std::chrono::seconds kLongestEjection = 30s;
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_CONFIG_H_
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -15,6 +15,7 @@
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
 #include "comfreylock/partition.h"
+#include "comfreylock/policy.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/types.h"
 
@@ -33,6 +34,7 @@
   uint64_t incarnation = 1;     ///< Greater at each start of this node.
   uint64_t seed = 1;
   std::vector<std::string> seeds;  ///< Control addresses of first peers.
+  Policy policy = Policy::kStandard;
 };
 
 /// Figures for the operator's listener.
@@ -93,6 +95,9 @@
     TimePoint deadline;
     bool started = false;
     uint32_t retries_left = 0;
+    uint32_t onward_calls = 0;                ///< In progress.
+    TimePoint onward_since;                   ///< When the first of them began.
+    std::chrono::microseconds downstream{0};  ///< Spent on ended onward calls.
   };
 
   // Each handler appends to effects_.
@@ -122,6 +127,7 @@
   // Requests at the target.
   void Apply(const AdmissionChanges& changes);
   void Reject(WorkId work, Reason reason);
+  std::chrono::microseconds DownstreamTime(const Work& work) const;
   wire::AnswerReport Report(const Work& work) const;
 
   // Fleet.
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -9,7 +9,8 @@
     : identity_(std::move(identity)),
       random_(identity_.seed),
       now_(now),
-      router_(identity_.zone, identity_.seed),
+      router_(
+          {identity_.node, identity_.zone, identity_.seed, identity_.policy}),
       next_store_try_(now) {}
 
 Node::~Node() = default;
