Admit work by an adaptive limit, a fair queue and a shed level

Cause: admission had a fixed limit and one list that was searched for each decision; one organisation could fill the queue.

Change: the limit follows the median latency of windows of 32 answers against the long-run minimum of such medians, so that single fast answers do not lower it. Time in onward calls is taken off. If six decreases do not lower the latency, the cause lies elsewhere: the limit goes back and the minimum is learnt anew. The queue is ordered by importance, then by start-time fair queueing; tags advance only for requests that start. The shed level follows the age of the oldest request, because important requests never wait long. A refusal by level hits only what would have to wait. The expected service time is kept for each route and halves each second without news. The former behaviour without a delay bound is the naive policy.

--- a/include/comfreylock/admission.h
+++ b/include/comfreylock/admission.h
@@ -3,30 +3,20 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
-#include <map>
-#include <string>
-#include <unordered_map>
+#include <memory>
 #include <vector>
 
 #include "comfreylock/bundle.h"
 #include "comfreylock/events.h"
+#include "comfreylock/fair_queue.h"
+#include "comfreylock/policy.h"
 #include "comfreylock/types.h"
 
 /// Admission beside the target: which requests run now, wait, or are refused.
 namespace comfreylock {
 
-/// A request offered to admission.
-struct WorkItem {
-  WorkId work;
-  std::string organisation;
-  uint32_t importance = 0;
-  double weight = 1;
-  TimePoint deadline;
-  bool run_alone = false;  ///< Suspected of crashing targets.
-};
-
-/// A decision about one request.
+/// A decision about one request. Each offered request gets exactly one, unless
+/// it is cancelled while it waits.
 struct AdmissionChange {
   enum class Kind { kStart, kReject };
   WorkId work;
@@ -39,47 +29,44 @@
 /// Decides which requests run on this host's target.
 class Admission {
  public:
-  /// @param rule limits of the target's service.
-  /// @param now time at which the target is taken to have started.
-  Admission(const ServiceRule& rule, TimePoint now);
+  virtual ~Admission() = default;
 
   /// Takes new limits from a bundle; running requests are left alone.
-  void Configure(const ServiceRule& rule);
+  virtual void Configure(const ServiceRule& rule) = 0;
 
   /// Offers a request. @return decisions, possibly about other requests too.
-  AdmissionChanges Offer(const WorkItem& item, TimePoint now);
-
-  /// Tells that a started request ended. @return decisions about others.
-  AdmissionChanges Finish(WorkId work, WorkResult result, TimePoint now);
+  virtual AdmissionChanges Offer(const WorkItem& item, TimePoint now) = 0;
+
+  /// Tells that a started request ended.
+  /// @param downstream time that the target spent on onward calls. It is no
+  ///     part of the target's own latency, so that a slow service further down
+  ///     does not lower this target's limit.
+  /// @return decisions about others.
+  virtual AdmissionChanges Finish(WorkId work,
+                                  WorkResult result,
+                                  TimePoint now,
+                                  std::chrono::microseconds downstream) = 0;
 
   /// Removes a queued request. A started one stays until `Finish`.
-  AdmissionChanges Cancel(WorkId work, TimePoint now);
+  virtual AdmissionChanges Cancel(WorkId work, TimePoint now) = 0;
 
   /// Lets time pass: refuses what waited too long.
-  AdmissionChanges Advance(TimePoint now);
+  virtual AdmissionChanges Advance(TimePoint now) = 0;
 
-  uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
-  uint32_t queued() const { return static_cast<uint32_t>(queue_.size()); }
-  uint32_t limit() const { return limit_; }
+  virtual uint32_t in_flight() const = 0;
+  virtual uint32_t queued() const = 0;
+  virtual uint32_t limit() const = 0;
 
-  /// @return what is shed at present; 0 means nothing.
-  uint32_t shed_level() const { return 0; }
-
- private:
-  struct Waiting {
-    WorkItem item;
-    TimePoint since;
-  };
-
-  void StartWaiting(TimePoint now, AdmissionChanges& changes);
-  void RejectExpired(TimePoint now, AdmissionChanges& changes);
-
-  ServiceRule rule_;
-  uint32_t limit_ = 1;
-  std::unordered_map<WorkId, WorkItem> running_;
-  std::deque<Waiting> queue_;
+  /// @return what is shed at present, 0 (nothing) to 31; see shedding.h.
+  virtual uint32_t shed_level() const = 0;
 };
 
+/// @param rule limits of the target's service.
+/// @param now time at which the target is taken to have started.
+std::unique_ptr<Admission> MakeAdmission(Policy policy,
+                                         const ServiceRule& rule,
+                                         TimePoint now);
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_ADMISSION_H_
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -1,75 +1,275 @@
 #include "comfreylock/admission.h"
 
 #include <algorithm>
+#include <deque>
+#include <unordered_map>
+
+#include "comfreylock/concurrency_limit.h"
+#include "comfreylock/shedding.h"
+#include "service_time.h"
 
 namespace comfreylock {
+namespace {
 
-Admission::Admission(const ServiceRule& rule, TimePoint /*now*/) {
-  Configure(rule);
+void Reject(AdmissionChanges& changes, WorkId work, Reason reason) {
+  changes.push_back({work, AdmissionChange::Kind::kReject, reason});
 }
 
-void Admission::Configure(const ServiceRule& rule) {
-  rule_ = rule;
-  limit_ = rule.slots;
+void Start(AdmissionChanges& changes, WorkId work) {
+  changes.push_back({work, AdmissionChange::Kind::kStart, Reason::kNone});
 }
 
-AdmissionChanges Admission::Offer(const WorkItem& item, TimePoint now) {
-  AdmissionChanges changes;
-  RejectExpired(now, changes);
-  if (queue_.size() >= rule_.queue && running_.size() >= limit_) {
-    changes.push_back(
-        {item.work, AdmissionChange::Kind::kReject, Reason::kOverload});
-    return changes;
+/// Adaptive limit, fair queue, shed level.
+class AdaptiveAdmission : public Admission {
+ public:
+  AdaptiveAdmission(const ServiceRule& rule, TimePoint now)
+      : rule_(rule),
+        controller_(rule.slots, rule.ramp, now),
+        limit_(controller_.Value(now)),
+        demand_(now),
+        level_(now) {}
+
+  void Configure(const ServiceRule& rule) override {
+    rule_ = rule;
+    controller_.Configure(rule.slots, rule.ramp);
+    limit_ = std::min(limit_, rule.slots);
   }
-  queue_.push_back({item, now});
-  StartWaiting(now, changes);
-  return changes;
-}
 
-AdmissionChanges Admission::Finish(WorkId work,
-                                   WorkResult /*result*/,
-                                   TimePoint now) {
+  AdmissionChanges Offer(const WorkItem& item, TimePoint now) override;
+  AdmissionChanges Finish(WorkId work,
+                          WorkResult result,
+                          TimePoint now,
+                          std::chrono::microseconds downstream) override;
+  AdmissionChanges Cancel(WorkId work, TimePoint now) override;
+  AdmissionChanges Advance(TimePoint now) override;
+
+  uint32_t in_flight() const override {
+    return static_cast<uint32_t>(running_.size());
+  }
+  uint32_t queued() const override {
+    return static_cast<uint32_t>(queue_.size());
+  }
+  uint32_t limit() const override { return limit_; }
+  uint32_t shed_level() const override { return level_.level(); }
+
+ private:
+  struct Running {
+    std::string route;
+    TimePoint since;
+    bool run_alone = false;
+  };
+
+  /// @return why `item` is refused at once, or `kNone`.
+  Reason RefusalOf(const WorkItem& item, TimePoint now) const;
+  bool CanStartNow(const WorkItem& item) const;
+  bool MeetsDeadline(const WorkItem& item, TimePoint now) const;
+  void Enqueue(const WorkItem& item, TimePoint now, AdmissionChanges& changes);
+  void StartWaiting(TimePoint now, AdmissionChanges& changes);
+  void RejectOverdue(TimePoint now, AdmissionChanges& changes);
+  void Learn(const Running& running,
+             WorkResult result,
+             TimePoint now,
+             std::chrono::microseconds downstream);
+  AdmissionChanges Settle(TimePoint now, AdmissionChanges changes);
+
+  ServiceRule rule_;
+  ConcurrencyLimit controller_;
+  uint32_t limit_;
+  ServiceTime service_time_;
+  ShareMeter demand_;
+  LevelController level_;
+  FairQueue queue_;
+  std::unordered_map<WorkId, Running> running_;
+  uint32_t suspects_running_ = 0;
+};
+
+AdmissionChanges AdaptiveAdmission::Offer(const WorkItem& item, TimePoint now) {
   AdmissionChanges changes;
-  running_.erase(work);
-  RejectExpired(now, changes);
+  RejectOverdue(now, changes);
   StartWaiting(now, changes);
-  return changes;
+  demand_.Add(item.organisation, item.weight, now);
+  Reason reason = RefusalOf(item, now);
+  if (reason == Reason::kNone)
+    Enqueue(item, now, changes);
+  else
+    Reject(changes, item.work, reason);
+  return Settle(now, std::move(changes));
 }
 
-AdmissionChanges Admission::Cancel(WorkId work, TimePoint /*now*/) {
-  std::erase_if(queue_,
-                [&](const Waiting& entry) { return entry.item.work == work; });
-  return {};
+Reason AdaptiveAdmission::RefusalOf(const WorkItem& item, TimePoint now) const {
+  if (!MeetsDeadline(item, now))
+    return Reason::kDeadline;
+  if (CanStartNow(item))
+    return Reason::kNone;
+  // The level refuses only what would wait: a free slot is never wasted.
+  uint32_t step = demand_.StepOf(item.organisation, now);
+  bool refused =
+      LevelRefuses(level_.level(), ShedPriority(item.importance, step));
+  return refused ? Reason::kOverload : Reason::kNone;
 }
 
-AdmissionChanges Admission::Advance(TimePoint now) {
-  AdmissionChanges changes;
-  RejectExpired(now, changes);
+bool AdaptiveAdmission::CanStartNow(const WorkItem& item) const {
+  return running_.size() < limit_ && !queue_.HasReady(suspects_running_ == 0) &&
+         !(item.run_alone && suspects_running_ > 0);
+}
+
+bool AdaptiveAdmission::MeetsDeadline(const WorkItem& item,
+                                      TimePoint now) const {
+  return now + service_time_.Expected(item.route, now) < item.deadline;
+}
+
+void AdaptiveAdmission::Enqueue(const WorkItem& item,
+                                TimePoint now,
+                                AdmissionChanges& changes) {
+  if (queue_.size() >= rule_.queue && !CanStartNow(item)) {
+    auto evicted = queue_.EvictFor(item);
+    if (!evicted) {
+      Reject(changes, item.work, Reason::kOverload);
+      return;
+    }
+    Reject(changes, evicted->work, Reason::kOverload);
+  }
+  queue_.Push(item, now);
+}
+
+AdmissionChanges AdaptiveAdmission::Finish(
+    WorkId work,
+    WorkResult result,
+    TimePoint now,
+    std::chrono::microseconds downstream) {
+  auto found = running_.find(work);
+  if (found != running_.end()) {
+    Learn(found->second, result, now, downstream);
+    if (found->second.run_alone)
+      --suspects_running_;
+    running_.erase(found);
+  }
+  return Settle(now, {});
+}
+
+void AdaptiveAdmission::Learn(const Running& running,
+                              WorkResult result,
+                              TimePoint now,
+                              std::chrono::microseconds downstream) {
+  auto latency = now - running.since;
+  bool ran =
+      result == WorkResult::kCompleted || result == WorkResult::kTimedOut;
+  bool shed = result == WorkResult::kTargetShed;
+  if (ran)
+    service_time_.Record(running.route, latency, now);
+  if (ran || shed) {
+    auto own = std::max(latency - downstream, std::chrono::microseconds(0));
+    controller_.Record(own, shed, in_flight(), now);
+  }
+}
+
+AdmissionChanges AdaptiveAdmission::Cancel(WorkId work, TimePoint now) {
+  queue_.Remove(work);
+  return Settle(now, {});
+}
+
+AdmissionChanges AdaptiveAdmission::Advance(TimePoint now) {
+  return Settle(now, {});
+}
+
+AdmissionChanges AdaptiveAdmission::Settle(TimePoint now,
+                                           AdmissionChanges changes) {
+  limit_ = controller_.Value(now);
+  RejectOverdue(now, changes);
   StartWaiting(now, changes);
+  level_.Observe(queue_.OldestWait(now), now);
   return changes;
 }
 
-void Admission::StartWaiting(TimePoint /*now*/, AdmissionChanges& changes) {
-  while (!queue_.empty() && running_.size() < limit_) {
-    auto next = std::ranges::min_element(
-        queue_, {}, [](const Waiting& entry) { return entry.item.importance; });
-    running_[next->item.work] = next->item;
-    changes.push_back(
-        {next->item.work, AdmissionChange::Kind::kStart, Reason::kNone});
-    queue_.erase(next);
+void AdaptiveAdmission::StartWaiting(TimePoint now, AdmissionChanges& changes) {
+  while (running_.size() < limit_) {
+    auto item = queue_.Pop(suspects_running_ == 0);
+    if (!item)
+      return;
+    if (!MeetsDeadline(*item, now)) {
+      Reject(changes, item->work, Reason::kDeadline);
+      continue;
+    }
+    if (item->run_alone)
+      ++suspects_running_;
+    running_[item->work] = {item->route, now, item->run_alone};
+    Start(changes, item->work);
   }
 }
 
-void Admission::RejectExpired(TimePoint now, AdmissionChanges& changes) {
-  std::erase_if(queue_, [&](const Waiting& entry) {
-    bool late = now >= entry.item.deadline;
-    bool waited_too_long = now - entry.since > rule_.queue_delay;
-    if (!late && !waited_too_long)
-      return false;
-    changes.push_back({entry.item.work, AdmissionChange::Kind::kReject,
-                       late ? Reason::kDeadline : Reason::kOverload});
-    return true;
-  });
+void AdaptiveAdmission::RejectOverdue(TimePoint now,
+                                      AdmissionChanges& changes) {
+  while (auto item = queue_.PopPastDeadline(now))
+    Reject(changes, item->work, Reason::kDeadline);
+  while (auto item = queue_.PopWaitingSince(now - rule_.queue_delay))
+    Reject(changes, item->work, Reason::kOverload);
+}
+
+/// The baseline: fixed limit, first in first out, no bound on the delay.
+class FixedAdmission : public Admission {
+ public:
+  explicit FixedAdmission(const ServiceRule& rule) : rule_(rule) {}
+
+  void Configure(const ServiceRule& rule) override { rule_ = rule; }
+
+  AdmissionChanges Offer(const WorkItem& item, TimePoint /*now*/) override {
+    AdmissionChanges changes;
+    if (running_ < rule_.slots)
+      StartOne(item.work, changes);
+    else if (queue_.size() < rule_.queue)
+      queue_.push_back(item.work);
+    else
+      Reject(changes, item.work, Reason::kOverload);
+    return changes;
+  }
+
+  AdmissionChanges Finish(WorkId /*work*/,
+                          WorkResult /*result*/,
+                          TimePoint /*now*/,
+                          std::chrono::microseconds /*downstream*/) override {
+    AdmissionChanges changes;
+    if (running_ > 0)
+      --running_;
+    while (running_ < rule_.slots && !queue_.empty()) {
+      StartOne(queue_.front(), changes);
+      queue_.pop_front();
+    }
+    return changes;
+  }
+
+  AdmissionChanges Cancel(WorkId work, TimePoint /*now*/) override {
+    std::erase(queue_, work);
+    return {};
+  }
+
+  AdmissionChanges Advance(TimePoint /*now*/) override { return {}; }
+
+  uint32_t in_flight() const override { return running_; }
+  uint32_t queued() const override {
+    return static_cast<uint32_t>(queue_.size());
+  }
+  uint32_t limit() const override { return rule_.slots; }
+  uint32_t shed_level() const override { return 0; }
+
+ private:
+  void StartOne(WorkId work, AdmissionChanges& changes) {
+    ++running_;
+    Start(changes, work);
+  }
+
+  ServiceRule rule_;
+  uint32_t running_ = 0;
+  std::deque<WorkId> queue_;
+};
+
+}  // namespace
+
+std::unique_ptr<Admission> MakeAdmission(Policy policy,
+                                         const ServiceRule& rule,
+                                         TimePoint now) {
+  if (policy == Policy::kNaive)
+    return std::make_unique<FixedAdmission>(rule);
+  return std::make_unique<AdaptiveAdmission>(rule, now);
 }
 
 }  // namespace comfreylock
--- a/src/reducer_bundle.cc
+++ b/src/reducer_bundle.cc
@@ -56,7 +56,7 @@
   if (admission_)
     admission_->Configure(rule->second);
   else
-    admission_ = std::make_unique<Admission>(rule->second, now_);
+    admission_ = MakeAdmission(identity_.policy, rule->second, now_);
 }
 
 }  // namespace comfreylock
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -91,6 +91,8 @@
   // spend comes back when it ends. Calls side by side thus share one budget.
   call.retries_left = (work.retries_left + 1) / 2;
   work.retries_left -= call.retries_left;
+  if (work.onward_calls++ == 0)
+    work.onward_since = now_;
   return Reason::kNone;
 }
 
@@ -207,8 +209,12 @@
     return;
   const Call& call = found->second;
   auto parent = works_.find(call.parent);
-  if (parent != works_.end())
-    parent->second.retries_left += call.retries_left;
+  if (parent != works_.end()) {
+    Work& work = parent->second;
+    work.retries_left += call.retries_left;
+    if (--work.onward_calls == 0)
+      work.downstream += now_ - work.onward_since;
+  }
   calls_.erase(found);
   FinishDrain();
 }
--- a/src/reducer_work.cc
+++ b/src/reducer_work.cc
@@ -26,7 +26,9 @@
   WorkItem item;
   item.work = event.work;
   item.organisation = event.context.organisation();
+  item.route = event.context.route();
   item.importance = event.context.importance();
+  item.run_alone = event.context.suspect();
   auto rule = bundle_->organisations.find(item.organisation);
   if (rule != bundle_->organisations.end())
     item.weight = rule->second.weight;
@@ -93,12 +95,20 @@
             {{"request_id", found->second.context.request_id()},
              {"organisation", found->second.context.organisation()}}});
   }
+  auto downstream = DownstreamTime(found->second);
   work_by_request_.erase(found->second.context.request_id());
   works_.erase(found);
-  Apply(admission_->Finish(event.work, event.result, now_));
+  Apply(admission_->Finish(event.work, event.result, now_, downstream));
   FinishDrain();
 }
 
+std::chrono::microseconds Node::DownstreamTime(const Work& work) const {
+  auto time = work.downstream;
+  if (work.onward_calls > 0)
+    time += now_ - work.onward_since;
+  return time;
+}
+
 void Node::On(const WorkCancelled& event) {
   auto found = works_.find(event.work);
   if (found == works_.end())
--- /dev/null
+++ b/src/service_time.cc
@@ -0,0 +1,35 @@
+#include "service_time.h"
+
+#include <cmath>
+
+namespace comfreylock {
+namespace {
+
+/// Weight of the newest request in the mean.
+constexpr double kGain = 1.0 / 16;
+constexpr std::chrono::seconds kHalfLife{1};
+
+}  // namespace
+
+void ServiceTime::Record(const std::string& route,
+                         std::chrono::microseconds latency,
+                         TimePoint now) {
+  auto [found, added] = routes_.try_emplace(route);
+  Estimate& estimate = found->second;
+  auto sample = static_cast<double>(latency.count());
+  estimate.mean =
+      added ? sample : estimate.mean + kGain * (sample - estimate.mean);
+  estimate.time = now;
+}
+
+std::chrono::microseconds ServiceTime::Expected(const std::string& route,
+                                                TimePoint now) const {
+  auto found = routes_.find(route);
+  if (found == routes_.end())
+    return std::chrono::microseconds(0);
+  auto periods = static_cast<int>((now - found->second.time) / kHalfLife);
+  return std::chrono::microseconds(
+      static_cast<int64_t>(std::ldexp(found->second.mean, -periods)));
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/tests/core/admission_test.cc
@@ -0,0 +1,318 @@
+#include "comfreylock/admission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "target_simulation.h"
+
+namespace comfreylock {
+namespace {
+
+/// 10 workers of 10 ms: 1,000 requests a second.
+constexpr uint32_t kWorkers = 10;
+constexpr double kCapacity = 1000;
+
+ServiceRule Rule() {
+  ServiceRule rule;
+  rule.slots = 50;
+  rule.queue = 200;
+  rule.queue_delay = 100ms;
+  rule.ramp = 0ms;
+  return rule;
+}
+
+WorkItem Item(const std::string& organisation, uint32_t importance = 2) {
+  WorkItem item;
+  item.organisation = organisation;
+  item.route = "route";
+  item.importance = importance;
+  return item;
+}
+
+TimePoint Second(double seconds) {
+  return TimePoint(1s) +
+         std::chrono::microseconds(static_cast<int64_t>(seconds * 1e6));
+}
+
+/// Whole answers of all organisations from `begin` to `end`.
+int GoodputBetween(TargetSimulation& target, double begin, double end) {
+  auto sum = [&] {
+    int total = 0;
+    for (const auto& [name, count] : target.whole)
+      total += count;
+    return total;
+  };
+  target.RunUntil(Second(begin));
+  int before = sum();
+  target.RunUntil(Second(end));
+  return sum() - before;
+}
+
+// Guards against goodput that collapses in a surge of 5 times the capacity
+// whose refused clients come back at once, and against effects that outlast
+// it by 2 s.
+TEST(AdmissionTest, SurgeKeepsGoodputAndEndsWithItsTrigger) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.Send(Item("kamilla"), 0.6 * kCapacity, Second(0), Second(30), 500ms);
+  target.Send(Item("menta"), 4.4 * kCapacity, Second(5), Second(15), 500ms);
+  uint64_t resent = uint64_t{1} << 40;
+  target.on_refused = [&](const TargetSimulation::Request& request, Reason) {
+    WorkItem item = request.item;
+    if (item.organisation != "menta" || target.now() > item.deadline)
+      return;
+    item.work = WorkId{++resent};
+    target.At(target.now() + 50ms, [&target, item] { target.Offer(item); });
+  };
+  int surge = GoodputBetween(target, 6, 15);
+  EXPECT_GE(surge, 0.95 * kCapacity * 9);
+  target.RunUntil(Second(17));
+  int refused = target.refused["kamilla"];
+  int after = GoodputBetween(target, 17, 27);
+  EXPECT_GE(after, 0.55 * kCapacity * 10);
+  EXPECT_EQ(target.refused["kamilla"], refused);
+  EXPECT_EQ(target.admission().shed_level(), 0U);
+  EXPECT_LE(target.late, 0.01 * surge);
+}
+
+// Guards against a limit that follows one very fast answer down to 1.
+TEST(AdmissionTest, FastAnswersDoNotCollapseTheLimit) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.Send(Item("kamilla"), 1.5 * kCapacity, Second(0), Second(20), 500ms);
+  for (int i = 0; i < 10; ++i) {
+    target.At(Second(i), [&] { target.service_time = 100us; });
+    target.At(Second(i + 0.005), [&] { target.service_time = 10ms; });
+  }
+  EXPECT_GE(GoodputBetween(target, 2, 20), 0.95 * kCapacity * 18);
+  EXPECT_GE(target.admission().limit(), kWorkers);
+}
+
+// Guards against a limit that is lowered because a service further down slows
+// by 10 times: this target's own work is as fast as before.
+TEST(AdmissionTest, SlowServiceBelowDoesNotCutTheLimit) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.downstream = 10ms;
+  target.Send(Item("kamilla"), 0.3 * kCapacity, Second(0), Second(20), 900ms);
+  target.At(Second(5), [&] { target.downstream = 100ms; });
+  EXPECT_GE(GoodputBetween(target, 6, 20), 0.95 * 0.3 * kCapacity * 14);
+  EXPECT_GE(target.admission().limit(), 40U);
+}
+
+// Guards against a limit that shrinks for good when the target itself becomes
+// 10 times slower, and against one that stays low after that ends.
+TEST(AdmissionTest, LimitSurvivesASlowTarget) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.Send(Item("kamilla"), 1.2 * kCapacity, Second(0), Second(30), 800ms);
+  target.At(Second(5), [&] { target.service_time = 100ms; });
+  target.At(Second(15), [&] { target.service_time = 10ms; });
+  EXPECT_GE(GoodputBetween(target, 7, 15), 0.9 * kCapacity / 10 * 8);
+  EXPECT_GE(GoodputBetween(target, 17, 30), 0.95 * kCapacity * 13);
+}
+
+// Guards against an organisation at 5 times its share that crowds out others.
+TEST(AdmissionTest, FloodLeavesOthersTheirShare) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  for (std::string name : {"a", "b", "c", "d", "e", "f", "g"})
+    target.Send(Item(name), kCapacity / 8, Second(0), Second(20), 500ms);
+  target.Send(Item("flood"), 5 * kCapacity / 8, Second(5), Second(20), 500ms);
+  target.RunUntil(Second(20));
+  for (std::string name : {"a", "b", "c", "d", "e", "f", "g"})
+    EXPECT_GE(target.whole[name], 0.95 * target.offered[name]) << name;
+  EXPECT_GE(target.whole["flood"], 0.9 * kCapacity / 8 * 15);
+}
+
+// Guards against important requests that are shed before unimportant ones, and
+// against unimportant ones that starve once there is room again.
+TEST(AdmissionTest, ImportantRequestsAreShedLast) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.Send(Item("a", 0), 0.5 * kCapacity, Second(0), Second(30), 500ms);
+  target.Send(Item("b", 3), 3 * kCapacity, Second(0), Second(10), 500ms);
+  target.Send(Item("c", 3), 0.3 * kCapacity, Second(12), Second(30), 500ms);
+  target.RunUntil(Second(30));
+  EXPECT_EQ(target.refused["a"], 0);
+  EXPECT_GE(target.whole["b"], 0.4 * kCapacity * 10);
+  EXPECT_EQ(target.refused["c"], 0);
+}
+
+// Guards against a target that is filled up to its slots right after its start.
+TEST(AdmissionTest, ColdTargetRamps) {
+  ServiceRule rule = Rule();
+  rule.ramp = 2000ms;
+  auto admission = MakeAdmission(Policy::kStandard, rule, TimePoint(1s));
+  EXPECT_EQ(admission->limit(), 5U);
+  admission->Advance(TimePoint(2s));
+  EXPECT_NEAR(admission->limit(), 27, 1);
+  admission->Advance(TimePoint(3s));
+  EXPECT_EQ(admission->limit(), 50U);
+}
+
+// Guards against a limit that ignores the target's own refusals.
+TEST(AdmissionTest, TargetThatShedsLowersTheLimit) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.sheds_above = 20;
+  target.Send(Item("kamilla"), 3 * kCapacity, Second(0), Second(10), 500ms);
+  int goodput = GoodputBetween(target, 2, 10);
+  EXPECT_GE(goodput, 0.95 * kCapacity * 8);
+  EXPECT_LE(target.admission().limit(), 25U);
+}
+
+// Guards against work that is started though it cannot be done in time.
+TEST(AdmissionTest, HopelessDeadlinesAreNotStarted) {
+  TargetSimulation target(Policy::kStandard, Rule(), kWorkers);
+  target.Send(Item("kamilla"), 0.5 * kCapacity, Second(0), Second(5), 500ms);
+  target.Send(Item("menta"), 10, Second(2), Second(5), 3ms);
+  target.RunUntil(Second(5));
+  EXPECT_EQ(target.whole["kamilla"] + target.refused["kamilla"] +
+                static_cast<int>(target.admission().in_flight()),
+            target.offered["kamilla"]);
+  EXPECT_EQ(target.refused["menta"], target.offered["menta"]);
+}
+
+/// Random offers, ends and cancellations, checked against a plain model.
+class AdmissionModel {
+ public:
+  explicit AdmissionModel(uint32_t slots) {
+    ServiceRule rule = Rule();
+    rule.slots = slots;
+    rule.queue = 6;
+    admission_ = MakeAdmission(Policy::kStandard, rule, now_);
+  }
+
+  void Step(int action, uint32_t importance, bool run_alone) {
+    now_ += 1ms;
+    switch (action) {
+      case 0:
+      case 1:
+      case 2:
+        Offer(importance, run_alone);
+        break;
+      case 3:
+        if (!running_.empty())
+          Finish(running_.begin()->first);
+        break;
+      case 4:
+        if (!waiting_.empty()) {
+          WorkId work = waiting_.begin()->first;
+          waiting_.erase(work);
+          Take(admission_->Cancel(work, now_));
+        }
+        break;
+      default:
+        now_ += 30ms;
+        Take(admission_->Advance(now_));
+    }
+    RC_ASSERT(admission_->queued() == waiting_.size());
+    RC_ASSERT(admission_->in_flight() == running_.size());
+    RC_ASSERT(waiting_.size() <= 6U);
+  }
+
+  /// Ends everything; each offered request must have had one decision.
+  void Drain() {
+    while (!running_.empty())
+      Finish(running_.begin()->first);
+    now_ += 1s;
+    Take(admission_->Advance(now_));
+    RC_ASSERT(waiting_.empty());
+  }
+
+ private:
+  void Offer(uint32_t importance, bool run_alone) {
+    WorkItem item = Item(std::string(1, static_cast<char>('a' + last_ % 3)));
+    item.work = WorkId{++last_};
+    item.importance = importance;
+    item.run_alone = run_alone;
+    item.deadline = now_ + 10s;
+    waiting_[item.work] = item;
+    Take(admission_->Offer(item, now_));
+  }
+
+  void Finish(WorkId work) {
+    running_.erase(work);
+    Take(admission_->Finish(work, WorkResult::kCompleted, now_, 0us));
+  }
+
+  void Take(const AdmissionChanges& changes) {
+    for (const auto& change : changes) {
+      RC_ASSERT(waiting_.contains(change.work));
+      WorkItem item = waiting_.at(change.work);
+      waiting_.erase(change.work);
+      if (change.kind != AdmissionChange::Kind::kStart)
+        continue;
+      running_[change.work] = item;
+      RC_ASSERT(running_.size() <= admission_->limit());
+      CheckOrder(item);
+    }
+  }
+
+  void CheckOrder(const WorkItem& started) {
+    int suspects = 0;
+    for (const auto& [work, item] : running_)
+      suspects += item.run_alone;
+    RC_ASSERT(suspects <= 1);
+    for (const auto& [work, item] : waiting_) {
+      RC_ASSERT(item.run_alone || item.importance >= started.importance);
+    }
+  }
+
+  TimePoint now_{1s};
+  std::unique_ptr<Admission> admission_;
+  std::map<WorkId, WorkItem> waiting_;
+  std::map<WorkId, WorkItem> running_;
+  uint64_t last_ = 0;
+};
+
+// Guards against more than the limit in flight, two suspects at once, a less
+// important request that starts first, and lost or doubled decisions.
+TEST(AdmissionTest, EveryRequestGetsOneDecisionInOrder) {
+  EXPECT_TRUE(rc::check([] {
+    AdmissionModel model(*rc::gen::inRange(1, 5));
+    using Action = std::tuple<int, uint32_t, bool>;
+    auto actions = *rc::gen::container<std::vector<Action>>(rc::gen::tuple(
+        rc::gen::inRange(0, 6), rc::gen::inRange<uint32_t>(0, 4),
+        rc::gen::map(rc::gen::inRange(0, 5), [](int n) { return n == 0; })));
+    for (const auto& [action, importance, run_alone] : actions)
+      model.Step(action, importance, run_alone);
+    model.Drain();
+  }));
+}
+
+// Guards against an organisation that gets more than its weighted part while
+// others wait, whatever is cancelled in between.
+TEST(AdmissionTest, BackloggedOrganisationsAreServedByWeight) {
+  EXPECT_TRUE(rc::check([] {
+    auto weights =
+        *rc::gen::container<std::vector<int>>(5, rc::gen::inRange(1, 5));
+    auto seed = *rc::gen::inRange<uint64_t>(0, 1000);
+    std::mt19937_64 random(seed);
+    FairQueue queue;
+    uint64_t last = 0;
+    std::vector<double> served(weights.size());
+    std::vector<std::vector<WorkId>> queued(weights.size());
+    for (int step = 0; step < 400; ++step) {
+      for (size_t i = 0; i < weights.size(); ++i) {
+        while (queued[i].size() < 5) {
+          WorkItem item = Item(std::string(1, static_cast<char>('a' + i)));
+          item.weight = weights[i];
+          item.work = WorkId{++last};
+          queued[i].push_back(item.work);
+          queue.Push(item, TimePoint(1s));
+        }
+      }
+      size_t victim = random() % weights.size();
+      RC_ASSERT(queue.Remove(queued[victim].back()));
+      queued[victim].pop_back();
+      auto item = queue.Pop(true);
+      auto organisation = static_cast<size_t>(item->organisation[0] - 'a');
+      served[organisation] += 1.0 / weights[organisation];
+      std::erase(queued[organisation], item->work);
+    }
+    // Start-time fair queueing keeps normalised service within the sum of one
+    // request of each of two organisations.
+    auto [least, most] = std::ranges::minmax(served);
+    RC_ASSERT(most - least <= 2.0 + 1e-9);
+  }));
+}
+
+}  // namespace
+}  // namespace comfreylock
