Send control messages between nodes over ZeroMQ

Cause: SendToPeer had no effect and no control listener was bound, so nodes could learn of each other through the store only.

Change: PeerZmq binds one ROUTER at control_address, reads it on a thread of its own and posts to Asio.

Conclusion: the reducer's messages reach other nodes.

--- a/src/shell.cc
+++ b/src/shell.cc
@@ -47,11 +47,13 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since));
 }
 
-Shell::Shell(NodeSettings settings)
+Shell::Shell(NodeSettings settings) : Shell(settings, IdentityOf(settings)) {}
+
+Shell::Shell(NodeSettings settings, const NodeIdentity& identity)
     : settings_(std::move(settings)),
       fleet_secret_(FromHex(settings_.fleet_secret_hex)),
       signals_(context_, SIGTERM, SIGINT),
-      node_(std::make_unique<Node>(IdentityOf(settings_), ReadNodeClock())),
+      node_(std::make_unique<Node>(identity, ReadNodeClock())),
       edge_(context_,
             *this,
             {settings_.header_timeout, settings_.idle_timeout}),
@@ -60,7 +62,12 @@
              settings_.store_address,
              [this](StoreCallId call, StoreResult result) {
                Feed(StoreAnswered{call, std::move(result)});
-             }) {}
+             }),
+      control_(
+          context_.get_executor(),
+          {identity.node, identity.incarnation, identity.control_address},
+          fleet_secret_,
+          [this](PeerMessageReceived message) { Feed(std::move(message)); }) {}
 
 Shell::~Shell() = default;
 
@@ -135,7 +142,9 @@
   peer_.Apply(effect);
 }
 
-void Shell::Apply(const SendToPeer& /*effect*/) {}
+void Shell::Apply(const SendToPeer& effect) {
+  control_.Send(effect);
+}
 
 void Shell::Apply(const CallStore& effect) {
   store_.Start(effect.call, effect.request, effect.timeout);
--- a/src/shell.h
+++ b/src/shell.h
@@ -11,6 +11,7 @@
 #include "comfreylock/reducer.h"
 #include "http_edge.h"
 #include "http_peer.h"
+#include "peer_zmq.h"
 #include "settings.h"
 #include "store_etcd.h"
 
@@ -34,6 +35,8 @@
   uint64_t NextId() override;
 
  private:
+  Shell(NodeSettings settings, const NodeIdentity& identity);
+
   void Apply(const RefuseCall& effect);
   void Apply(const Dispatch& effect);
   void Apply(const DeliverAnswer& effect);
@@ -58,6 +61,7 @@
   HttpEdge edge_;
   HttpPeer peer_;
   EtcdStore store_;
+  PeerZmq control_;
   uint64_t last_id_ = 0;
 };
 
