Own partitions through the store under one lease per node

Cause: PartitionTable existed but nothing filled it, so rates and claims had no owner to ask.

Change: the preferred live node (rendezvous hash, SipHash) takes owners/<p> by compare-and-swap and writes owner-history/<p> in the same transaction. All owner keys of a node hang on one 3 s lease, renewed each second; a renewal times out after 400 ms so that two fit before the owner freezes at 2 s. Only a renewal counts as confirmation, from its send time, since the lease and not the write of the key limits the key's life. After any failed or lost take the owner keys are read, and a key on the own lease is adopted; first_ever is then read from the history key's create revision. Leaving revokes the lease (one call). Owners go to 3 random members as rumours; a node that knows no owner reads the keys with a growing pause up to 30 s.

There is no rebalancing: a live owner keeps its partitions.

--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -23,6 +23,8 @@
   kStoreFailed = 400,
   kStoreRecovered = 401,
   kMemberChanged = 500,
+  kPartitionTaken = 510,
+  kPartitionLost = 511,
   kBundleInForce = 600,
   kBundleRejected = 601,
 };
--- a/include/comfreylock/partition.h
+++ b/include/comfreylock/partition.h
@@ -12,6 +12,10 @@
 /// Which node owns each partition of organisations and once-only keys.
 namespace comfreylock {
 
+/// @return the score of a node for a choice named `salt`; the nodes with the
+/// highest scores are chosen (rendezvous hashing).
+uint64_t RendezvousScore(std::string_view node, std::string_view salt);
+
 /// A partition's owner as learnt from the store or from rumours.
 struct PartitionOwner {
   NodeId node;
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYLOCK_REDUCER_H_
 #define COMFREYLOCK_REDUCER_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -61,6 +62,9 @@
   /// @return the bundle in force, or null before the first.
   const Bundle* bundle() const { return bundle_.get(); }
 
+  /// @return the owners of partitions that this node knows.
+  const PartitionTable& partitions() const { return partitions_; }
+
   NodeStatus status() const;
 
   /// @return the report that goes with the answer to `work`.
@@ -125,6 +129,10 @@
   wire::AnswerReport Report(const Work& work) const;
 
   // Fleet.
+  using StoreHandler = std::function<void(const StoreResult&)>;
+  void AskStore(StoreRequest request,
+                StoreHandler handler,
+                std::chrono::milliseconds timeout = std::chrono::seconds(1));
   void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
   void ReadBundle();
   void OnBundleRead(StoreResult result);
@@ -137,6 +145,39 @@
   void StartStoreReads();
   void FinishDrain();
 
+  // Ownership of partitions (reducer_partition.cc).
+  struct Ownership {
+    int64_t lease = 0;    ///< 0: this node holds no lease.
+    TimePoint confirmed;  ///< Send time of the last renewal that held.
+    TimePoint next_renewal;
+    TimePoint next_read;
+    std::chrono::milliseconds read_pause{0};
+    bool asking_lease = false;
+    bool renewing = false;
+    bool reading = false;
+    bool released = false;  ///< Graceful leave: nothing is taken any more.
+    bool releasing = false;
+    std::set<uint32_t> taking;
+  };
+  void AdvancePartitions();
+  void AskLease();
+  void RenewLease();
+  void OnLeaseLost();
+  void ReadOwners();
+  void OnOwnersRead(const StoreRangeResult& range);
+  void TakePartition(uint32_t partition, int64_t history_revision);
+  void HoldPartition(uint32_t partition, int64_t revision, bool first_ever);
+  void ReleasePartitions();
+  /// Looks at once whether an owner that left or died let its keys go.
+  void OnOwnerGone(const NodeId& node);
+  /// @return whether this node comes first for the partition among the nodes
+  /// that are alive.
+  bool PreferredOwnerOf(uint32_t partition) const;
+  bool MayOwnPartitions(const NodeId& node) const;
+  void LearnOwner(uint32_t partition, const PartitionOwner& owner);
+  void LearnOwner(const wire::PartitionOwner& owner);
+  void PushRumours(const wire::Rumours& rumours, const NodeId& except);
+
   NodeIdentity identity_;
   std::mt19937_64 random_;
   TimePoint now_;
@@ -151,9 +192,10 @@
   std::unordered_map<std::string, WorkId> work_by_request_;
   std::map<NodeId, wire::Member> members_;
   PartitionTable partitions_;
+  Ownership ownership_;
 
   uint64_t last_store_call_ = 0;
-  std::unordered_map<StoreCallId, void (Node::*)(StoreResult)> store_calls_;
+  std::unordered_map<StoreCallId, StoreHandler> store_calls_;
   TimePoint next_store_try_;
   bool announced_ = false;
   bool watching_ = false;
--- a/src/crypto.cc
+++ b/src/crypto.cc
@@ -1,5 +1,7 @@
 #include "crypto.h"
 
+#include <array>
+
 #include <sodium.h>
 
 #include "comfreylock/types.h"
@@ -40,6 +42,16 @@
   return mac;
 }
 
+uint64_t ShortHash(std::string_view data) {
+  constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> kKey = {};
+  std::array<unsigned char, crypto_shorthash_BYTES> digest{};
+  crypto_shorthash(digest.data(), Bytes(data), data.size(), kKey.data());
+  uint64_t number = 0;
+  for (unsigned char byte : digest)
+    number = number << 8 | byte;
+  return number;
+}
+
 bool EqualConstantTime(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          sodium_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/src/crypto.h
+++ b/src/crypto.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYLOCK_CRYPTO_H_
 #define COMFREYLOCK_CRYPTO_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,10 @@
 /// @return the HMAC-SHA-256 of `data` under `key`, 32 bytes.
 std::string HmacSha256(std::string_view key, std::string_view data);
 
+/// @return a SipHash of `data`, the same on every node. For placement only:
+/// its key is fixed and known.
+uint64_t ShortHash(std::string_view data);
+
 /// Compares in time that depends on the length only.
 bool EqualConstantTime(std::string_view a, std::string_view b);
 
--- a/src/partition.cc
+++ b/src/partition.cc
@@ -6,6 +6,13 @@
 
 namespace comfreylock {
 
+uint64_t RendezvousScore(std::string_view node, std::string_view salt) {
+  std::string text(salt);
+  text.push_back('\0');
+  text.append(node);
+  return ShortHash(text);
+}
+
 uint32_t PartitionTable::PartitionOf(std::string_view key, uint32_t count) {
   std::string digest = Sha256(key);
   uint64_t number = 0;
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -39,6 +39,7 @@
 void Node::On(const Tick& /*event*/) {
   if (now_ >= next_store_try_)
     StartStoreReads();
+  AdvancePartitions();
   if (admission_)
     Apply(admission_->Advance(now_));
   for (auto& [id, call] : calls_) {
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
 
@@ -8,13 +10,23 @@
 constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to reach the store.
 constexpr std::chrono::milliseconds kStoreRetry = 500ms;
+/// Members that a rumour is sent on to when it is new.
+constexpr size_t kRumourFanOut = 3;
 
 }  // namespace
 
-void Node::AskStore(StoreRequest request, void (Node::*handler)(StoreResult)) {
+void Node::AskStore(StoreRequest request,
+                    StoreHandler handler,
+                    std::chrono::milliseconds timeout) {
   StoreCallId id{++last_store_call_};
-  store_calls_[id] = handler;
-  effects_.push_back(CallStore{id, std::move(request)});
+  store_calls_[id] = std::move(handler);
+  effects_.push_back(CallStore{id, std::move(request), timeout});
+}
+
+void Node::AskStore(StoreRequest request, void (Node::*handler)(StoreResult)) {
+  AskStore(std::move(request), [this, handler](const StoreResult& result) {
+    (this->*handler)(result);
+  });
 }
 
 void Node::On(const StoreAnswered& event) {
@@ -25,7 +37,7 @@
   bool is_watch = std::holds_alternative<StoreWatchResult>(event.result);
   if (!is_watch)
     store_calls_.erase(found);
-  (this->*handler)(event.result);
+  handler(event.result);
 }
 
 void Node::StartStoreReads() {
@@ -83,6 +95,7 @@
   if (deleted) {
     members_.erase(node);
     router_.RemoveTarget(node);
+    OnOwnerGone(node);
   } else {
     wire::Member member;
     if (!member.ParseFromString(entry.value))
@@ -97,7 +110,27 @@
                          {{"node", node}, {"left", deleted ? "yes" : "no"}}});
 }
 
-void Node::On(const PeerMessageReceived& /*event*/) {}
+void Node::On(const PeerMessageReceived& event) {
+  if (event.message.has_rumours()) {
+    for (const auto& owner : event.message.rumours().owners())
+      LearnOwner(owner);
+  }
+}
+
+void Node::PushRumours(const wire::Rumours& rumours, const NodeId& except) {
+  std::vector<const wire::Member*> peers;
+  for (const auto& [node, member] : members_) {
+    if (node != identity_.node && node != except)
+      peers.push_back(&member);
+  }
+  std::ranges::shuffle(peers, random_);
+  peers.resize(std::min(peers.size(), kRumourFanOut));
+  for (const wire::Member* peer : peers) {
+    SendToPeer send{peer->node(), peer->control_address(), {}};
+    *send.message.mutable_rumours() = rumours;
+    effects_.push_back(std::move(send));
+  }
+}
 
 void Node::On(const DrainRequested& /*event*/) {
   if (draining_)
@@ -108,12 +141,15 @@
       std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
   AskStore(StoreTransaction{{}, {}, {{key}}}, &Node::OnAnnounced);
   announced_ = true;
+  ReleasePartitions();
   FinishDrain();
 }
 
 void Node::FinishDrain() {
-  if (!draining_ || exited_ || !calls_.empty() || !works_.empty())
+  if (!draining_ || exited_ || !calls_.empty() || !works_.empty() ||
+      ownership_.releasing) {
     return;
+  }
   exited_ = true;
   effects_.push_back(Log{LogCode::kNodeStopped, {}});
   effects_.push_back(Exit{});
