--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -29,6 +29,35 @@
 /// Number of importance classes; 0 is the most important.
 inline constexpr uint32_t kImportanceClasses = 4;
 
+// Rate shares.
+/// How long a share is valid without renewal.
+inline constexpr std::chrono::milliseconds kShareValidity = 6s;
+/// The owner waits longer than the node by 1/8, in case their clocks run at
+/// different speeds.
+inline constexpr int kShareMarginDivisor = 8;
+/// Longest validity that an owner without confirmation may grant, counted from
+/// its last confirmation; also how long a new owner waits for missing reports.
+inline constexpr std::chrono::milliseconds kShareHold = 15min;
+/// Interval of share requests, and the least interval of urgent ones.
+inline constexpr std::chrono::milliseconds kShareRequestInterval = 1s;
+inline constexpr std::chrono::milliseconds kShareRequestLeast = 20ms;
+/// Requests whose grants are still accepted.
+inline constexpr size_t kShareRequestsKept = 512;
+/// Longest wait of a call for a share, and calls that wait per organisation.
+inline constexpr std::chrono::milliseconds kShareWait = 100ms;
+inline constexpr size_t kMaxWaitingForShare = 256;
+/// Time constants of the demand estimate. The slow count is the estimate; it
+/// follows the fast one when they differ by this many standard deviations.
+inline constexpr std::chrono::milliseconds kDemandFast = 500ms;
+inline constexpr std::chrono::milliseconds kDemandSlow = 5s;
+inline constexpr double kDemandDeviations = 3.5;
+/// Demand below this counts as none, requests per second.
+inline constexpr double kLeastDemand = 0.01;
+/// Growth of demand after which a node asks at once.
+inline constexpr double kDemandGrowth = 1.25;
+/// Difference from the wanted share that is not corrected at once.
+inline constexpr double kShareSlack = 0.1;
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_CONFIG_H_
