--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -29,6 +29,18 @@
 /// Number of importance classes; 0 is the most important.
 inline constexpr uint32_t kImportanceClasses = 4;
 
+// Operators.
+/// Decisions kept for `explain`; about 400 bytes each.
+inline constexpr size_t kDecisionsKept = 8192;
+
+// Bundle.
+/// Members that are told at once of a newer version.
+inline constexpr size_t kBundleFanOut = 4;
+/// Interval at which one member is told the version in force; closes gaps.
+inline constexpr std::chrono::milliseconds kBundleTellInterval = 1s;
+/// Pause before parts that did not arrive are asked for again.
+inline constexpr std::chrono::milliseconds kBundlePartRetry = 500ms;
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_CONFIG_H_
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -12,6 +12,7 @@
 
 #include "comfreylock/admission.h"
 #include "comfreylock/bundle.h"
+#include "comfreylock/bundle_head.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
 #include "comfreylock/partition.h"
@@ -33,17 +34,20 @@
   uint64_t incarnation = 1;     ///< Greater at each start of this node.
   uint64_t seed = 1;
   std::vector<std::string> seeds;  ///< Control addresses of first peers.
+  OperatorKeys operators;          ///< Whose signatures put bundles in force.
 };
 
-/// Figures for the operator's listener.
+/// Figures for the operator's listener. Cheap: read for each decision.
 struct NodeStatus {
   uint64_t bundle_version = 0;
   uint32_t in_flight = 0;
   uint32_t queued = 0;
   uint32_t limit = 0;
+  uint32_t shed_level = 0;
   size_t members = 0;
   size_t calls = 0;
   bool draining = false;
+  bool store_reached = false;  ///< The store's last answer was no failure.
 };
 
 /// The state of one node.
@@ -85,6 +89,7 @@
     NodeId node;
     std::vector<NodeId> tried;
     bool may_have_run = false;
+    bool key_refused = false;
   };
 
   /// A request at this host's target.
@@ -124,15 +129,34 @@
   void Reject(WorkId work, Reason reason);
   wire::AnswerReport Report(const Work& work) const;
 
-  // Fleet.
-  void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
+  // Bundle.
+  /// @return whether this node reads and watches the head in the store.
+  bool IsStoreWatcher() const { return true; }
   void ReadBundle();
   void OnBundleRead(StoreResult result);
   void OnBundleChanged(StoreResult result);
+  void OnBundlePartRead(StoreResult result);
+  void OfferBundle(std::string_view document,
+                   std::string_view origin,
+                   TimePoint read_parts_at);
+  void TakeBundle();
+  void PutInForce(Bundle bundle);
+  void AdvanceBundle();
+  void TellBundleVersion(size_t peers);
+  void AskForParts(const NodeId& node, const std::string& address);
+  void OnBundleVersion(const PeerMessageReceived& event);
+  void OnBundleHead(const PeerMessageReceived& event);
+  void OnBundlePartRequest(const PeerMessageReceived& event);
+  void OnBundlePart(const PeerMessageReceived& event);
+  /// @return whether the key a call came with is still in the bundle.
+  bool KeyInForce(const Call& call) const;
+  void RefuseWithdrawnKeys();
+
+  // Fleet.
+  void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
   void OnMembersRead(StoreResult result);
   void OnMembersChanged(StoreResult result);
   void OnAnnounced(StoreResult result);
-  void TakeBundle(const StoreEntry& entry);
   void TakeMember(const StoreEntry& entry, bool deleted);
   void StartStoreReads();
   void FinishDrain();
@@ -144,6 +168,11 @@
   Effects effects_;
 
   std::shared_ptr<const Bundle> bundle_;
+  BundleIntake bundle_intake_;
+  TimePoint next_bundle_tell_;
+  TimePoint next_part_read_;
+  TimePoint next_part_ask_;
+  uint64_t asked_version_ = 0;
   std::unique_ptr<Admission> admission_;
   Router router_;
   std::unordered_map<CallId, Call> calls_;
@@ -157,6 +186,7 @@
   TimePoint next_store_try_;
   bool announced_ = false;
   bool watching_ = false;
+  bool store_reached_ = false;
   bool draining_ = false;
   bool exited_ = false;
 };
--- /dev/null
+++ b/programs/ctl/fleet_commands.cc
@@ -0,0 +1,161 @@
+#include <iostream>
+
+#include "ctl.h"
+#include "ctl_http.h"
+#include "json_reader.h"
+
+/// Subcommands that ask the nodes' operator listeners.
+namespace comfreylock::ctl {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+
+struct NodeAnswer {
+  std::string address;
+  std::string error;  ///< Empty if the node answered.
+  nlohmann::json body;
+};
+
+NodeAnswer AskNode(Session& session,
+                   const std::string& address,
+                   http::verb method,
+                   const std::string& target) {
+  NodeAnswer answer{address, "", nullptr};
+  try {
+    CtlResponse response =
+        CtlRequest(address, method, target,
+                   std::string(kBearer) + session.settings().operator_token);
+    answer.body = nlohmann::json::parse(response.body, nullptr, false);
+    if (response.status != 200)
+      answer.error = "answered " + std::to_string(response.status);
+    else if (answer.body.is_discarded())
+      answer.error = "did not answer JSON";
+  } catch (const std::exception& error) {
+    answer.error = error.what();
+  }
+  return answer;
+}
+
+std::vector<NodeAnswer> AskAll(Session& session, const std::string& target) {
+  if (session.settings().nodes.empty()) {
+    throw InputError(
+        "nodes: is missing in the settings; a list of operator listeners");
+  }
+  std::vector<NodeAnswer> answers;
+  for (const auto& address : session.settings().nodes)
+    answers.push_back(AskNode(session, address, http::verb::get, target));
+  return answers;
+}
+
+void PrintStatus(const NodeAnswer& answer) {
+  const auto& body = answer.body;
+  std::string line =
+      body.value("node", answer.address) + " (" + body.value("zone", "") +
+      (body.value("service", "").empty() ? "" : ", ") +
+      body.value("service", "") + "): version " +
+      std::to_string(body.value("bundle_version", 0)) + ", members " +
+      std::to_string(body.value("members", 0)) + ", in flight " +
+      std::to_string(body.value("in_flight", 0)) + " of " +
+      std::to_string(body.value("limit", 0)) + ", queued " +
+      std::to_string(body.value("queued", 0)) + ", shed level " +
+      std::to_string(body.value("shed_level", 0)) + ", store " +
+      body.value("store", "unknown");
+  if (body.value("draining", false))
+    line += ", draining";
+  PrintLine(line);
+}
+
+/// Percent-encodes everything that is not safe in a query.
+std::string Encoded(std::string_view text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (unsigned char letter : text) {
+    if (std::isalnum(letter) || letter == '-' || letter == '_') {
+      encoded += static_cast<char>(letter);
+      continue;
+    }
+    encoded += '%';
+    encoded += kDigits[letter >> 4];
+    encoded += kDigits[letter & 15];
+  }
+  return encoded;
+}
+
+void PrintDecision(const nlohmann::json& decision) {
+  std::string line = decision.value("time", "") + " " +
+                     decision.value("node", "") + " " +
+                     decision.value("decision", "");
+  const nlohmann::json figures =
+      decision.value("figures", nlohmann::json::object());
+  for (const auto& [name, value] : figures.items()) {
+    line += " " + name + "=" +
+            (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  PrintLine(line);
+}
+
+void ThrowIfAnyFailed(const std::vector<NodeAnswer>& answers) {
+  std::string failed;
+  for (const auto& answer : answers) {
+    if (!answer.error.empty()) {
+      failed += (failed.empty() ? "" : "\n") + ("node " + answer.address) +
+                ": " + answer.error;
+    }
+  }
+  if (!failed.empty())
+    throw Error(failed);
+}
+
+}  // namespace
+
+void Status(Session& session) {
+  auto answers = AskAll(session, "/status");
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& answer : answers) {
+    if (answer.error.empty())
+      list.push_back(answer.body);
+    else
+      list.push_back({{"address", answer.address}, {"error", answer.error}});
+    if (answer.error.empty() && !session.options().json)
+      PrintStatus(answer);
+  }
+  if (session.options().json)
+    std::cout << list.dump(2) << "\n";
+  ThrowIfAnyFailed(answers);
+}
+
+void Explain(Session& session) {
+  const std::string& id = session.Argument(0, "REQUEST-ID");
+  auto answers = AskAll(session, "/explain?request_id=" + Encoded(id));
+  std::vector<nlohmann::json> decisions;
+  for (const auto& answer : answers) {
+    if (!answer.error.empty())
+      continue;
+    for (const auto& decision : answer.body)
+      decisions.push_back(decision);
+  }
+  // Hosts' clocks differ by little; one node's decisions keep their order.
+  std::ranges::stable_sort(decisions, {}, [](const nlohmann::json& decision) {
+    return decision.value("time", "");
+  });
+  if (session.options().json) {
+    std::cout << nlohmann::json(decisions).dump(2) << "\n";
+  } else {
+    for (const auto& decision : decisions)
+      PrintDecision(decision);
+  }
+  ThrowIfAnyFailed(answers);
+  if (decisions.empty()) {
+    throw Error("no node has a decision about request " + id +
+                "; only the latest requests are kept");
+  }
+}
+
+void Drain(Session& session) {
+  const std::string& address = session.Argument(0, "IP:PORT");
+  auto answer = AskNode(session, address, http::verb::post, "/drain");
+  ThrowIfAnyFailed({answer});
+  PrintLine("node " + address + " drains");
+}
+
+}  // namespace comfreylock::ctl
--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -1,7 +1,6 @@
 """Starts stores, targets and nodes on loopback for the demo, the tests and the
 measurements. Needs only Python's standard library and build/bin/."""
 
-import base64
 import hashlib
 import hmac
 import http.client
@@ -25,7 +24,8 @@
     "ertis": {"design-proofs": 4, "deposits-bookings": 3, "artwork-intake": 3,
               "catalogue": 3},
 }
-BUNDLE_HEAD = "/comfreylock/bundle/head"
+# Author and approver of every bundle that this library rolls.
+OPERATORS = ("author", "approver")
 
 
 def read_commented_json(path):
@@ -72,11 +72,6 @@
     raise TimeoutError("waited %g s for %s" % (seconds, what))
 
 
-def _b64(text):
-    data = text if isinstance(text, bytes) else text.encode()
-    return base64.b64encode(data).decode()
-
-
 class Process:
     """One process of the fleet."""
 
@@ -117,6 +112,8 @@
         self.processes = []
         self.secret = secrets.token_hex(32)
         self.salt = secrets.token_hex(16)
+        self.operator_token = secrets.token_hex(16)
+        self.operators = self._make_operators()
         self.keys = {}
         self.target_options = target_options or {}
         self.node_options = node_options or {}
@@ -139,6 +136,20 @@
         loaded = read_commented_json(shape)
         return loaded["upstreams"], bundle or loaded["bundle"]
 
+    def _operator_file(self, name):
+        return self.state_dir / ("operator-%s.json" % name)
+
+    def _make_operators(self):
+        """Makes signing keys; returns the public keys by operator."""
+        public_keys = {}
+        for name in OPERATORS:
+            text = subprocess.run([BIN / "comfreylock-ctl", "operator-key",
+                                   name], check=True, capture_output=True,
+                                  text=True).stdout
+            self._operator_file(name).write_text(text)
+            public_keys[name] = json.loads(text)["public_key"]
+        return public_keys
+
     def _log(self, name):
         return self.state_dir / (name + ".log")
 
@@ -175,6 +186,8 @@
             "operator_address": operator, "target_address": target,
             "store_address": self.store_address,
             "fleet_secret_hex": self.secret,
+            "operators": self.operators,
+            "operator_token": self.operator_token,
             "seeds": list(self.control_addresses[:3]), **self.node_options}
         path = self.state_dir / (name + ".json")
         path.write_text(json.dumps(settings, indent=1))
@@ -206,15 +219,30 @@
                  "hash": digest})
             self.keys[organisation] = key
 
+    def ctl(self, *arguments):
+        """Runs comfreylock-ctl; returns what it printed."""
+        settings = self.state_dir / "ctl.json"
+        settings.write_text(json.dumps({
+            "store_address": self.store_address, "operators": self.operators,
+            "operator_token": self.operator_token,
+            "nodes": [p.facts["addresses"]["operator"]
+                      for p in self.nodes.values()]}, indent=1))
+        done = subprocess.run(
+            [BIN / "comfreylock-ctl", *map(str, arguments),
+             "--settings=%s" % settings], capture_output=True, text=True)
+        if done.returncode != 0:
+            raise RuntimeError("comfreylock-ctl %s ended with %d: %s" % (
+                arguments[0], done.returncode, done.stderr.strip()))
+        return done.stdout
+
     def roll(self):
-        """Puts the bundle into force."""
-        value = json.dumps(self.bundle)
-        body = json.dumps({"compare": [], "success": [{"request_put": {
-            "key": _b64(BUNDLE_HEAD), "value": _b64(value)}}]})
-        status, _, _ = request(self.store_address, "POST", "/v3/kv/txn",
-                               body=body)
-        if status != 200:
-            raise RuntimeError("the store answered %d to the roll" % status)
+        """Puts the bundle into force: proposed by one operator, signed off
+        by the other."""
+        path = self.state_dir / "bundle.json"
+        path.write_text(json.dumps(self.bundle, indent=1))
+        author, approver = map(self._operator_file, OPERATORS)
+        return self.ctl("propose", path, "--sign-with=%s" % author,
+                        "--approve-with=%s" % approver)
 
     def caller(self, name):
         return self.nodes[name].facts["addresses"]["caller"]
--- a/src/bundle.cc
+++ b/src/bundle.cc
@@ -21,8 +21,9 @@
 
 RouteRule ParseRoute(const nlohmann::json& value,
                      const std::string& origin,
-                     const std::string& path) {
-  ObjectReader reader(value, origin, path);
+                     const std::string& path,
+                     ErrorList& errors) {
+  ObjectReader reader(value, origin, path, errors);
   RouteRule rule;
   reader.Read("name", rule.name, true);
   reader.Read("methods", rule.methods);
@@ -50,8 +51,9 @@
 
 ServiceRule ParseService(const nlohmann::json& value,
                          const std::string& name,
-                         const std::string& origin) {
-  ObjectReader reader(value, origin, "services." + name);
+                         const std::string& origin,
+                         ErrorList& errors) {
+  ObjectReader reader(value, origin, "services." + name, errors);
   ServiceRule rule;
   rule.name = name;
   reader.Read("slots", rule.slots, 1, kMaxSlots);
@@ -66,8 +68,9 @@
 
 OrganisationRule ParseOrganisation(const nlohmann::json& value,
                                    const std::string& name,
-                                   const std::string& origin) {
-  ObjectReader reader(value, origin, "organisations." + name);
+                                   const std::string& origin,
+                                   ErrorList& errors) {
+  ObjectReader reader(value, origin, "organisations." + name, errors);
   OrganisationRule rule;
   rule.name = name;
   reader.Read("rate", rule.rate, 0, kMaxRate);
@@ -79,9 +82,10 @@
 
 KeyRule ParseKey(const nlohmann::json& value,
                  const std::string& origin,
-                 const std::string& path) {
+                 const std::string& path,
+                 ErrorList& errors) {
   constexpr size_t kHashDigits = 64;
-  ObjectReader reader(value, origin, path);
+  ObjectReader reader(value, origin, path, errors);
   KeyRule rule;
   reader.Read("id", rule.id, true);
   reader.Read("organisation", rule.organisation, true);
@@ -97,8 +101,10 @@
   const auto* child = reader.Child(field);
   if (!child)
     return kEmpty;
-  if (!child->is_array())
+  if (!child->is_array()) {
     reader.Fail(field, "has the wrong type", "a list");
+    return kEmpty;
+  }
   return *child;
 }
 
@@ -108,8 +114,10 @@
   const auto* child = reader.Child(field);
   if (!child)
     return kEmpty;
-  if (!child->is_object())
+  if (!child->is_object()) {
     reader.Fail(field, "has the wrong type", "an object");
+    return kEmpty;
+  }
   return *child;
 }
 
@@ -191,28 +199,31 @@
 Bundle ParseBundle(std::string_view text, std::string_view origin) {
   nlohmann::json document = ParseJson(text, origin);
   std::string name(origin);
-  ObjectReader reader(document, name, "");
+  ErrorList errors;
+  ObjectReader reader(document, name, "", errors);
   Bundle bundle;
   reader.Read("version", bundle.version, 0,
               std::numeric_limits<uint64_t>::max());
   reader.Read("partitions", bundle.partitions, 1, kMaxPartitions);
   reader.Read("key_salt", bundle.key_salt);
   for (const auto& [key, value] : ObjectChild(reader, "services").items())
-    bundle.services[key] = ParseService(value, key, name);
+    bundle.services[key] = ParseService(value, key, name, errors);
   for (const auto& [key, value] : ObjectChild(reader, "organisations").items())
-    bundle.organisations[key] = ParseOrganisation(value, key, name);
+    bundle.organisations[key] = ParseOrganisation(value, key, name, errors);
   const auto& routes = ListChild(reader, "routes");
   for (size_t i = 0; i < routes.size(); ++i)
-    bundle.routes.push_back(ParseRoute(routes[i], name, Indexed("routes", i)));
+    bundle.routes.push_back(
+        ParseRoute(routes[i], name, Indexed("routes", i), errors));
   const auto& keys = ListChild(reader, "keys");
   for (size_t i = 0; i < keys.size(); ++i) {
-    KeyRule key = ParseKey(keys[i], name, Indexed("keys", i));
+    KeyRule key = ParseKey(keys[i], name, Indexed("keys", i), errors);
     if (bundle.keys.contains(key.id))
       reader.Fail(Indexed("keys", i) + ".id", "stands twice", "unique ids");
     bundle.keys[key.id] = key;
   }
   reader.Finish();
   CheckReferences(bundle, reader);
+  errors.ThrowIfAny();
   return bundle;
 }
 
--- /dev/null
+++ b/src/bundle_review.cc
@@ -0,0 +1,146 @@
+#include "bundle_review.h"
+
+#include <map>
+#include <sstream>
+
+#include "comfreylock/bundle.h"
+#include "json_reader.h"
+
+namespace comfreylock {
+namespace {
+
+using nlohmann::json;
+
+/// Lists are compared by the field that names their items, so that a moved
+/// item is no difference.
+json NamedItems(const json& list, const char* name) {
+  json named = json::object();
+  for (const auto& item : list)
+    named[item.value(name, "")] = item;
+  return named;
+}
+
+json Comparable(std::string_view text) {
+  if (text.empty())
+    return json::object();
+  json document = ParseJson(text, "bundle");
+  document.erase("version");
+  document["routes"] =
+      NamedItems(document.value("routes", json::array()), "name");
+  document["keys"] = NamedItems(document.value("keys", json::array()), "id");
+  return document;
+}
+
+void Compare(const std::string& path,
+             const json& before,
+             const json& after,
+             std::vector<std::string>& lines) {
+  if (before == after)
+    return;
+  if (!before.is_object() || !after.is_object()) {
+    lines.push_back("~ " + path + ": " + before.dump() + " -> " + after.dump());
+    return;
+  }
+  std::string prefix = path.empty() ? "" : path + ".";
+  for (const auto& [name, value] : before.items()) {
+    if (after.contains(name))
+      Compare(prefix + name, value, after[name], lines);
+    else
+      lines.push_back("- " + prefix + name + ": " + value.dump());
+  }
+  for (const auto& [name, value] : after.items()) {
+    if (!before.contains(name))
+      lines.push_back("+ " + prefix + name + ": " + value.dump());
+  }
+}
+
+std::string Number(double value) {
+  std::ostringstream text;
+  text << value;
+  return text.str();
+}
+
+void AddChange(const std::string& what,
+               double before,
+               double after,
+               std::vector<std::string>& lines) {
+  if (before != after)
+    lines.push_back(what + ": " + Number(before) + " -> " + Number(after));
+}
+
+void RateEffects(const Bundle& before,
+                 const Bundle& after,
+                 std::vector<std::string>& lines) {
+  double total_before = 0;
+  double total_after = 0;
+  OrganisationRule none;
+  none.rate = none.burst = 0;
+  std::map<std::string, std::pair<OrganisationRule, OrganisationRule>> all;
+  for (const auto& [name, rule] : before.organisations) {
+    all[name] = {rule, none};
+    total_before += rule.rate;
+  }
+  for (const auto& [name, rule] : after.organisations) {
+    auto place = all.try_emplace(name, none, none).first;
+    place->second.second = rule;
+    total_after += rule.rate;
+  }
+  for (const auto& [name, rules] : all) {
+    AddChange("rate of " + name + ", requests/s", rules.first.rate,
+              rules.second.rate, lines);
+    AddChange("burst of " + name + ", requests", rules.first.burst,
+              rules.second.burst, lines);
+  }
+  AddChange("sum of all rates, requests/s", total_before, total_after, lines);
+}
+
+void SlotEffects(const Bundle& before,
+                 const Bundle& after,
+                 std::vector<std::string>& lines) {
+  std::map<std::string, std::pair<double, double>> slots;
+  for (const auto& [name, rule] : before.services)
+    slots[name].first = rule.slots;
+  for (const auto& [name, rule] : after.services)
+    slots[name].second = rule.slots;
+  for (const auto& [name, change] : slots) {
+    AddChange("slots of each target of " + name, change.first, change.second,
+              lines);
+  }
+}
+
+void KeyEffects(const Bundle& before,
+                const Bundle& after,
+                std::vector<std::string>& lines) {
+  for (const auto& [id, key] : before.keys) {
+    if (!after.keys.contains(id))
+      lines.push_back("key " + id + " of " + key.organisation + " withdrawn");
+  }
+  for (const auto& [id, key] : after.keys) {
+    auto old = before.keys.find(id);
+    if (old == before.keys.end())
+      lines.push_back("key " + id + " of " + key.organisation + " issued");
+    else if (old->second.hash != key.hash)
+      lines.push_back("key " + id + " of " + key.organisation + " replaced");
+  }
+  if (!before.keys.empty() && before.key_salt != after.key_salt)
+    lines.push_back("key_salt changed: every key stops working");
+}
+
+}  // namespace
+
+BundleReview ReviewBundles(std::string_view before, std::string_view after) {
+  BundleReview review;
+  Compare("", Comparable(before), Comparable(after), review.differences);
+  Bundle old = before.empty() ? Bundle() : ParseBundle(before, "in force");
+  Bundle fresh = ParseBundle(after, "proposal");
+  RateEffects(old, fresh, review.effects);
+  SlotEffects(old, fresh, review.effects);
+  KeyEffects(old, fresh, review.effects);
+  if (!before.empty() && old.partitions != fresh.partitions) {
+    review.effects.push_back(
+        "partitions changed: they are constant for the life of a fleet");
+  }
+  return review;
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/ctl_bundle.cc
@@ -0,0 +1,240 @@
+#include "ctl_bundle.h"
+
+#include <iomanip>
+#include <sstream>
+
+#include "json_reader.h"
+
+namespace comfreylock {
+namespace {
+
+/// Digits of the content's digest in a proposal's id.
+constexpr size_t kIdDigits = 8;
+/// Keys of the history are padded so that they sort by version.
+constexpr int kVersionDigits = 20;
+
+std::string HistoryKey(uint64_t version) {
+  std::ostringstream key;
+  key << kBundleHistoryPrefix << std::setw(kVersionDigits) << std::setfill('0')
+      << version;
+  return key.str();
+}
+
+std::string ProposalKey(const std::string& id) {
+  return std::string(kBundleProposalPrefix) + id;
+}
+
+void AddSignature(BundleHead& head, const Signer& signer) {
+  head.signatures.push_back(
+      {signer.name, Sign(SignedContent(head), signer.key)});
+}
+
+std::string SignersOf(const BundleHead& head) {
+  std::string names;
+  for (const auto& signature : head.signatures) {
+    if (signature.signer != head.author)
+      names += (names.empty() ? "" : ", ") + signature.signer;
+  }
+  return names;
+}
+
+}  // namespace
+
+Signer ParseSigner(std::string_view text, std::string_view origin) {
+  nlohmann::json document = ParseJson(text, origin);
+  ErrorList errors;
+  ObjectReader reader(document, std::string(origin), "", errors);
+  Signer signer;
+  std::string public_hex;
+  std::string secret_hex;
+  reader.Read("operator", signer.name, true);
+  reader.Read("public_key", public_hex, true);
+  reader.Read("secret_key", secret_hex, true);
+  reader.Finish();
+  signer.key = {FromHex(public_hex), FromHex(secret_hex)};
+  constexpr size_t kPublicBytes = 32;
+  constexpr size_t kSecretBytes = 64;
+  if (signer.key.public_key.size() != kPublicBytes)
+    reader.Fail("public_key", "is no public key", "64 hexadecimal digits");
+  if (signer.key.secret_key.size() != kSecretBytes)
+    reader.Fail("secret_key", "is no signing key", "128 hexadecimal digits");
+  errors.ThrowIfAny();
+  return signer;
+}
+
+std::string FormatSigner(const Signer& signer) {
+  nlohmann::json document = {{"operator", signer.name},
+                             {"public_key", ToHex(signer.key.public_key)},
+                             {"secret_key", ToHex(signer.key.secret_key)}};
+  return document.dump(2) + "\n";
+}
+
+BundleRepository::BundleRepository(Ask ask, OperatorKeys operators)
+    : ask_(std::move(ask)), operators_(std::move(operators)) {}
+
+StoreRangeResult BundleRepository::Read(const std::string& key,
+                                        const std::string& end) {
+  StoreResult result = ask_(StoreRange{key, end});
+  if (const auto* range = std::get_if<StoreRangeResult>(&result))
+    return *range;
+  throw Error("the store cannot be read: " +
+              std::get<StoreFailure>(result).message);
+}
+
+bool BundleRepository::Write(const StoreTransaction& transaction) {
+  StoreResult result = ask_(transaction);
+  if (const auto* written = std::get_if<StoreTransactionResult>(&result))
+    return written->succeeded;
+  const auto& failure = std::get<StoreFailure>(result);
+  // The answer may be lost after the write took effect; the values show it.
+  if (failure.maybe_done) {
+    bool done = true;
+    for (const auto& put : transaction.puts) {
+      auto entries = Read(put.key).entries;
+      done = done && !entries.empty() && entries[0].value == put.value;
+    }
+    if (done)
+      return true;
+  }
+  throw Error("the store cannot be written: " + failure.message);
+}
+
+std::optional<StoredHead> BundleRepository::ReadHead() {
+  auto entries = Read(std::string(kBundleHeadKey)).entries;
+  if (entries.empty())
+    return std::nullopt;
+  return StoredHead{ParseBundleHead(entries[0].value, entries[0].key),
+                    entries[0].mod_revision};
+}
+
+std::string BundleRepository::ReadText(const BundleHead& head) {
+  BundleParts parts;
+  for (const auto& [name, digest] : head.parts) {
+    auto entries = Read(std::string(kBundlePartPrefix) + digest).entries;
+    if (!entries.empty())
+      parts[digest] = entries[0].value;
+  }
+  return JoinBundleText(head, parts);
+}
+
+void BundleRepository::WriteParts(const BundleParts& parts) {
+  for (const auto& [digest, content] : parts) {
+    std::string key = std::string(kBundlePartPrefix) + digest;
+    // A part is named by its content, so one that is there is the same.
+    Write(StoreTransaction{{{key, 0}}, {{key, content}}, {}});
+  }
+}
+
+std::string BundleRepository::Propose(std::string_view text,
+                                      std::string_view origin,
+                                      const Signer& author) {
+  SplitBundle split = SplitBundleText(text, origin);
+  auto current = ReadHead();
+  split.head.version = current ? current->head.version + 1 : 1;
+  split.head.author = author.name;
+  AddSignature(split.head, author);
+  if (!operators_.contains(author.name)) {
+    throw InputError("operator \"" + author.name +
+                     "\" is unknown; allowed: the operators of the settings");
+  }
+  if (current) {
+    for (const auto& [name, digest] : current->head.parts)
+      split.parts.erase(digest);
+  }
+  WriteParts(split.parts);
+  std::string id =
+      std::to_string(split.head.version) + "-" +
+      ToHex(Sha256(SignedContent(split.head))).substr(0, kIdDigits);
+  std::string key = ProposalKey(id);
+  Write(
+      StoreTransaction{{{key, 0}}, {{key, FormatBundleHead(split.head)}}, {}});
+  return id;
+}
+
+StoredHead BundleRepository::ReadProposal(const std::string& id) {
+  auto entries = Read(ProposalKey(id)).entries;
+  if (entries.empty()) {
+    std::string known;
+    for (const auto& name : ListProposals())
+      known += (known.empty() ? "" : ", ") + name;
+    throw InputError("proposal " + id + " is unknown; allowed: " +
+                     (known.empty() ? "none, there are no proposals" : known));
+  }
+  return {ParseBundleHead(entries[0].value, entries[0].key),
+          entries[0].mod_revision};
+}
+
+std::vector<std::string> BundleRepository::ListProposals() {
+  std::string prefix(kBundleProposalPrefix);
+  std::vector<std::string> ids;
+  for (const auto& entry : Read(prefix, PrefixEnd(prefix)).entries)
+    ids.push_back(entry.key.substr(prefix.size()));
+  return ids;
+}
+
+void BundleRepository::SignOff(const std::string& id, const Signer& signer) {
+  StoredHead proposal = ReadProposal(id);
+  if (signer.name == proposal.head.author) {
+    throw RefusedError("proposal " + id + " was made by " + signer.name +
+                       "; an operator other than the author signs it off");
+  }
+  // Signing without a check would approve what no node takes.
+  ParseBundle(ReadText(proposal.head), "proposal " + id);
+  AddSignature(proposal.head, signer);
+  auto errors = SignatureErrors(proposal.head, operators_);
+  if (!errors.empty())
+    throw RefusedError("proposal " + id + ": " + errors.front());
+  std::string key = ProposalKey(id);
+  if (!Write(StoreTransaction{{{key, proposal.mod_revision}},
+                              {{key, FormatBundleHead(proposal.head)}},
+                              {}})) {
+    throw RefusedError("proposal " + id +
+                       " was changed at the same time; review it again");
+  }
+}
+
+uint64_t BundleRepository::Roll(const std::string& id) {
+  BundleHead head = ReadProposal(id).head;
+  auto errors = SignatureErrors(head, operators_);
+  if (!errors.empty())
+    throw RefusedError("proposal " + id + ": " + errors.front());
+  ParseBundle(ReadText(head), "proposal " + id);
+  auto current = ReadHead();
+  uint64_t replaced = current ? current->head.version : 0;
+  if (head.version != replaced + 1)
+    RefuseLostRace(head);
+  std::string document = FormatBundleHead(head);
+  StoreTransaction transaction;
+  transaction.compares = {
+      {std::string(kBundleHeadKey), current ? current->mod_revision : 0}};
+  transaction.puts = {{std::string(kBundleHeadKey), document},
+                      {HistoryKey(head.version), document}};
+  transaction.deletes = {{ProposalKey(id)}};
+  if (!Write(transaction))
+    RefuseLostRace(head);
+  return head.version;
+}
+
+void BundleRepository::RefuseLostRace(const BundleHead& proposal) {
+  auto winner = ReadHead();
+  if (!winner) {
+    throw RefusedError("version " + std::to_string(proposal.version) +
+                       " was proposed for a head that is gone; propose again");
+  }
+  throw RefusedError("version " + std::to_string(proposal.version) +
+                     " is not rolled: version " +
+                     std::to_string(winner->head.version) + " by " +
+                     winner->head.author + ", signed off by " +
+                     SignersOf(winner->head) +
+                     ", is in force; propose the change again on top of it");
+}
+
+std::vector<BundleHead> BundleRepository::History() {
+  std::string prefix(kBundleHistoryPrefix);
+  std::vector<BundleHead> heads;
+  for (const auto& entry : Read(prefix, PrefixEnd(prefix)).entries)
+    heads.push_back(ParseBundleHead(entry.value, entry.key));
+  return heads;
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/ctl_http.cc
@@ -0,0 +1,61 @@
+#include "ctl_http.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "comfreylock/config.h"
+
+namespace comfreylock {
+namespace {
+
+constexpr std::chrono::milliseconds kAnswerTimeout = 2s;
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+
+asio::awaitable<CtlResponse> Exchange(asio::any_io_executor executor,
+                                      std::string address,
+                                      RequestHead head) {
+  IoDeadline deadline = std::chrono::steady_clock::now() + kAnswerTimeout;
+  HttpConnection connection(executor, address);
+  co_await connection.Connect(deadline);
+  bool sent = false;
+  co_await connection.Send(std::move(head), nullptr, deadline, sent);
+  ResponseHead answer = co_await connection.ReceiveHead(false);
+  CtlResponse response;
+  response.status = answer.result_int();
+  bool whole = false;
+  response.body = co_await ReadUpTo(connection.body(), kMaxAnswerBytes, whole);
+  if (!whole)
+    throw Error("the answer is too long");
+  co_return response;
+}
+
+}  // namespace
+
+CtlResponse CtlRequest(const std::string& address,
+                       http::verb method,
+                       const std::string& target,
+                       const std::string& credentials) {
+  RequestHead head;
+  head.method(method);
+  head.target(target);
+  head.version(11);
+  head.set(http::field::host, address);
+  head.set(http::field::authorization, credentials);
+  head.set(http::field::connection, "close");
+  if (method == http::verb::post)
+    SetFraming(head, 0);
+  asio::io_context context(1);
+  CtlResponse response;
+  std::exception_ptr failure;
+  asio::co_spawn(context,
+                 Exchange(context.get_executor(), address, std::move(head)),
+                 [&](std::exception_ptr error, CtlResponse result) {
+                   failure = error;
+                   response = std::move(result);
+                 });
+  context.run();
+  if (failure)
+    std::rethrow_exception(failure);
+  return response;
+}
+
+}  // namespace comfreylock
--- /dev/null
+++ b/src/http_operator.cc
@@ -0,0 +1,145 @@
+#include "http_operator.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "comfreylock/config.h"
+#include "crypto.h"
+
+namespace comfreylock {
+namespace {
+
+using boost::system::error_code;
+using boost::system::system_error;
+
+/// Longest accepted request, bytes; operators' requests have no body.
+constexpr uint32_t kRequestLimitBytes = 8 * 1024;
+/// Time for one request, from the first byte to the end of the answer.
+constexpr std::chrono::milliseconds kExchangeTimeout = 10s;
+constexpr char kJson[] = "application/json";
+constexpr char kMetricsText[] = "text/plain; version=0.0.4";
+
+}  // namespace
+
+HttpOperator::HttpOperator(asio::io_context& context,
+                           Host host,
+                           std::string token)
+    : context_(context), host_(std::move(host)), token_(std::move(token)) {}
+
+void HttpOperator::Listen(const std::string& address) {
+  asio::ip::tcp::acceptor acceptor(context_, ParseEndpoint(address), true);
+  asio::co_spawn(context_, Accept(std::move(acceptor)), asio::detached);
+}
+
+asio::awaitable<void> HttpOperator::Accept(asio::ip::tcp::acceptor acceptor) {
+  while (true) {
+    error_code error;
+    auto socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      // Out of descriptors: wait, so that the loop does not spin.
+      asio::steady_timer pause(context_, 10ms);
+      co_await pause.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpOperator::Serve(asio::ip::tcp::socket socket) {
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  bool keep = true;
+  try {
+    while (keep) {
+      http::request_parser<http::string_body> parser;
+      parser.header_limit(kRequestLimitBytes);
+      parser.body_limit(kRequestLimitBytes);
+      stream.expires_after(kExchangeTimeout);
+      co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+      const Request& request = parser.get();
+      bool drain = false;
+      Response response = Answer(request, drain);
+      response.keep_alive(request.keep_alive() && !drain);
+      response.prepare_payload();
+      keep = response.keep_alive();
+      co_await http::async_write(stream, response, asio::use_awaitable);
+      // The node may exit at once, so the answer goes first.
+      if (drain)
+        host_.drain();
+    }
+  } catch (const system_error&) {
+    // The operator is gone or sent no HTTP; closing is all that is left.
+  }
+  error_code ignored;
+  stream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+}
+
+HttpOperator::Response HttpOperator::Answer(const Request& request,
+                                            bool& drain) {
+  Response response(http::status::ok, 11);
+  response.set(http::field::content_type, kJson);
+  std::string_view target = request.target();
+  std::string_view path = target.substr(0, target.find('?'));
+  bool get = request.method() == http::verb::get;
+  if (!Allowed(request)) {
+    response.result(http::status::unauthorized);
+    response.set(http::field::www_authenticate, "Bearer");
+    response.body() = R"({"error":"the operator token is missing or wrong"})";
+  } else if (path == "/status" && get) {
+    response.body() = host_.status();
+  } else if (path == "/metrics" && get) {
+    response.set(http::field::content_type, kMetricsText);
+    response.body() = host_.metrics();
+  } else if (path == "/explain" && get) {
+    response.body() = host_.explain(QueryParameter(target, "request_id"));
+  } else if (path == "/drain" && request.method() == http::verb::post) {
+    drain = true;
+    response.body() = R"({"draining":true})";
+  } else {
+    response.result(http::status::not_found);
+    response.body() =
+        R"({"error":"unknown; allowed: GET /status, GET /metrics, )"
+        R"(GET /explain?request_id=, POST /drain"})";
+  }
+  return response;
+}
+
+bool HttpOperator::Allowed(const Request& request) const {
+  constexpr std::string_view kScheme = "Bearer ";
+  std::string_view credentials = request[http::field::authorization];
+  return credentials.starts_with(kScheme) &&
+         EqualConstantTime(credentials.substr(kScheme.size()), token_);
+}
+
+std::string QueryParameter(std::string_view target, std::string_view name) {
+  size_t question = target.find('?');
+  std::string_view query =
+      question == std::string_view::npos ? "" : target.substr(question + 1);
+  while (!query.empty()) {
+    std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || pair.substr(0, equals) != name)
+      continue;
+    std::string_view value = pair.substr(equals + 1);
+    std::string decoded;
+    for (size_t i = 0; i < value.size(); ++i) {
+      std::string byte =
+          value[i] == '%' ? FromHex(value.substr(i + 1, 2)) : std::string();
+      if (byte.size() == 1) {
+        decoded += byte;
+        i += 2;
+      } else {
+        decoded += value[i];
+      }
+    }
+    return decoded;
+  }
+  return "";
+}
+
+}  // namespace comfreylock
--- a/src/json_reader.cc
+++ b/src/json_reader.cc
@@ -20,6 +20,11 @@
   return list;
 }
 
+const nlohmann::json& EmptyObject() {
+  static const nlohmann::json kEmpty = nlohmann::json::object();
+  return kEmpty;
+}
+
 template <typename T>
 std::string RangeText(T lowest, T highest) {
   return std::to_string(lowest) + " to " + std::to_string(highest);
@@ -63,13 +68,26 @@
   return std::chrono::milliseconds(-1);
 }
 
+void ErrorList::ThrowIfAny() const {
+  if (messages_.empty())
+    return;
+  std::string text;
+  for (const auto& message : messages_)
+    text += (text.empty() ? "" : "\n") + message;
+  throw InputError(text);
+}
+
 ObjectReader::ObjectReader(const nlohmann::json& value,
                            std::string origin,
-                           std::string path)
-    : value_(value), origin_(std::move(origin)), path_(std::move(path)) {
-  if (!value_.is_object()) {
-    throw InputError(origin_ + ": " + (path_.empty() ? "document" : path_) +
-                     ": is not an object; an object in { } is allowed");
+                           std::string path,
+                           ErrorList& errors)
+    : value_(value.is_object() ? value : EmptyObject()),
+      origin_(std::move(origin)),
+      path_(std::move(path)),
+      errors_(errors) {
+  if (!value.is_object()) {
+    errors_.Add(origin_ + ": " + (path_.empty() ? "document" : path_) +
+                ": is not an object; allowed: an object in { }");
   }
 }
 
@@ -86,8 +104,10 @@
       Fail(field, "is missing", "a text in quotes");
     return;
   }
-  if (!found->is_string())
+  if (!found->is_string()) {
     Fail(field, "has the wrong type", "a text in quotes");
+    return;
+  }
   out = found->get<std::string>();
 }
 
@@ -95,8 +115,10 @@
   const auto* found = Find(field);
   if (!found)
     return;
-  if (!found->is_boolean())
+  if (!found->is_boolean()) {
     Fail(field, "has the wrong type", "true or false");
+    return;
+  }
   out = found->get<bool>();
 }
 
@@ -118,11 +140,15 @@
   if (!found)
     return;
   std::string allowed = "a whole number from " + RangeText(lowest, highest);
-  if (!found->is_number_unsigned())
+  if (!found->is_number_unsigned()) {
     Fail(field, "has the wrong type", allowed);
+    return;
+  }
   auto number = found->get<uint64_t>();
-  if (number < lowest || number > highest)
+  if (number < lowest || number > highest) {
     Fail(field, "is " + std::to_string(number), allowed);
+    return;
+  }
   out = number;
 }
 
@@ -134,11 +160,15 @@
   if (!found)
     return;
   std::string allowed = "a number from " + RangeText(lowest, highest);
-  if (!found->is_number())
+  if (!found->is_number()) {
     Fail(field, "has the wrong type", allowed);
+    return;
+  }
   auto number = found->get<double>();
-  if (!(number >= lowest && number <= highest))
+  if (!(number >= lowest && number <= highest)) {
     Fail(field, "is " + std::to_string(number), allowed);
+    return;
+  }
   out = number;
 }
 
@@ -151,11 +181,15 @@
     return;
   std::string allowed = "a duration such as \"250ms\", \"2s\" or \"5m\" from " +
                         RangeText(lowest.count(), highest.count()) + " ms";
-  if (!found->is_string())
+  if (!found->is_string()) {
     Fail(field, "has the wrong type", allowed);
+    return;
+  }
   auto duration = ParseDuration(found->get<std::string>());
-  if (duration < lowest || duration > highest)
+  if (duration < lowest || duration > highest) {
     Fail(field, "is " + Quoted(found->get<std::string>()), allowed);
+    return;
+  }
   out = duration;
 }
 
@@ -163,12 +197,16 @@
   const auto* found = Find(field);
   if (!found)
     return;
-  if (!found->is_array())
+  if (!found->is_array()) {
     Fail(field, "has the wrong type", "a list of texts");
+    return;
+  }
   std::vector<std::string> list;
   for (const auto& item : *found) {
-    if (!item.is_string())
+    if (!item.is_string()) {
       Fail(field, "has an item of the wrong type", "a list of texts");
+      return;
+    }
     list.push_back(item.get<std::string>());
   }
   out = std::move(list);
@@ -185,8 +223,8 @@
 void ObjectReader::Fail(std::string_view field,
                         std::string_view wrong,
                         std::string_view allowed) const {
-  throw InputError(origin_ + ": " + PathOf(field) + ": " + std::string(wrong) +
-                   "; allowed: " + std::string(allowed));
+  errors_.Add(origin_ + ": " + PathOf(field) + ": " + std::string(wrong) +
+              "; allowed: " + std::string(allowed));
 }
 
 void ObjectReader::Finish() const {
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -25,14 +26,30 @@
 /// @return the duration, or a negative one if `text` is no duration.
 std::chrono::milliseconds ParseDuration(std::string_view text);
 
+/// Collects the errors of one document, so that all are reported at once.
+class ErrorList {
+ public:
+  void Add(std::string message) { messages_.push_back(std::move(message)); }
+  bool empty() const { return messages_.empty(); }
+  const std::vector<std::string>& messages() const { return messages_; }
+
+  /// @throws InputError with one line for each error.
+  void ThrowIfAny() const;
+
+ private:
+  std::vector<std::string> messages_;
+};
+
 /// Reads the fields of one JSON object. `Finish` reports unknown fields.
 class ObjectReader {
  public:
   /// @param path names the object in errors, such as `routes[2]`.
-  /// @throws InputError if `value` is no object.
+  /// @param errors takes what is wrong; must outlive the reader. A `value`
+  ///   that is no object is one error and reads as an empty object.
   ObjectReader(const nlohmann::json& value,
                std::string origin,
-               std::string path);
+               std::string path,
+               ErrorList& errors);
 
   bool Has(std::string_view field) const;
 
@@ -60,12 +77,12 @@
   /// @return the path of a member, for errors and nested readers.
   std::string PathOf(std::string_view field) const;
 
-  /// @throws InputError always, naming the field.
-  [[noreturn]] void Fail(std::string_view field,
-                         std::string_view wrong,
-                         std::string_view allowed) const;
+  /// Adds an error that names the field.
+  void Fail(std::string_view field,
+            std::string_view wrong,
+            std::string_view allowed) const;
 
-  /// @throws InputError if the object has a field that nobody read.
+  /// Adds an error for each field that nobody read.
   void Finish() const;
 
   const std::string& origin() const { return origin_; }
@@ -76,6 +93,7 @@
   const nlohmann::json& value_;
   std::string origin_;
   std::string path_;
+  ErrorList& errors_;
   std::set<std::string, std::less<>> known_;
 };
 
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -9,6 +9,10 @@
     : identity_(std::move(identity)),
       random_(identity_.seed),
       now_(now),
+      bundle_intake_(identity_.operators),
+      next_bundle_tell_(now),
+      next_part_read_(now),
+      next_part_ask_(now),
       router_(identity_.zone, identity_.seed),
       next_store_try_(now) {}
 
@@ -29,16 +33,19 @@
     status.in_flight = admission_->in_flight();
     status.queued = admission_->queued();
     status.limit = admission_->limit();
+    status.shed_level = admission_->shed_level();
   }
   status.members = members_.size();
   status.calls = calls_.size();
   status.draining = draining_;
+  status.store_reached = store_reached_;
   return status;
 }
 
 void Node::On(const Tick& /*event*/) {
   if (now_ >= next_store_try_)
     StartStoreReads();
+  AdvanceBundle();
   if (admission_)
     Apply(admission_->Advance(now_));
   for (auto& [id, call] : calls_) {
--- a/src/reducer_bundle.cc
+++ b/src/reducer_bundle.cc
@@ -1,15 +1,16 @@
+#include <algorithm>
+
+#include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
 
-/// The bundle in force: reading, checking and taking newer versions.
+/// The bundle in force: reading heads and parts from the store and from peers,
+/// and putting newer versions into force.
 namespace comfreylock {
-namespace {
-
-constexpr std::string_view kBundleKey = "/comfreylock/bundle/head";
-
-}  // namespace
 
 void Node::ReadBundle() {
-  AskStore(StoreRange{std::string(kBundleKey)}, &Node::OnBundleRead);
+  if (!IsStoreWatcher())
+    return;
+  AskStore(StoreRange{std::string(kBundleHeadKey)}, &Node::OnBundleRead);
 }
 
 void Node::OnBundleRead(StoreResult result) {
@@ -19,8 +20,8 @@
     return;
   }
   for (const auto& entry : range->entries)
-    TakeBundle(entry);
-  AskStore(StoreWatch{std::string(kBundleKey), "", range->revision + 1},
+    OfferBundle(entry.value, entry.key, now_);
+  AskStore(StoreWatch{std::string(kBundleHeadKey), "", range->revision + 1},
            &Node::OnBundleChanged);
 }
 
@@ -32,24 +33,54 @@
   }
   for (const auto& change : watch->changes) {
     if (!change.deleted)
-      TakeBundle(change.entry);
+      OfferBundle(change.entry.value, change.entry.key, now_);
   }
 }
 
-void Node::TakeBundle(const StoreEntry& entry) {
+void Node::OnBundlePartRead(StoreResult result) {
+  const auto* range = std::get_if<StoreRangeResult>(&result);
+  if (!range)
+    return;
+  for (const auto& entry : range->entries) {
+    bundle_intake_.AddPart(entry.key.substr(entry.key.rfind('/') + 1),
+                           entry.value);
+  }
+  TakeBundle();
+}
+
+void Node::OfferBundle(std::string_view document,
+                       std::string_view origin,
+                       TimePoint read_parts_at) {
   try {
-    auto parsed =
-        std::make_shared<const Bundle>(ParseBundle(entry.value, entry.key));
-    if (bundle_ && parsed->version <= bundle_->version)
+    if (!bundle_intake_.Offer(document, origin))
       return;
-    bundle_ = std::move(parsed);
   } catch (const InputError& error) {
     effects_.push_back(
         Log{LogCode::kBundleRejected, {{"error", error.what()}}});
     return;
   }
+  next_part_read_ = read_parts_at;
+  TakeBundle();
+  AdvanceBundle();
+}
+
+void Node::TakeBundle() {
+  try {
+    auto bundle = bundle_intake_.Take();
+    if (bundle)
+      PutInForce(std::move(*bundle));
+  } catch (const InputError& error) {
+    effects_.push_back(
+        Log{LogCode::kBundleRejected, {{"error", error.what()}}});
+  }
+}
+
+void Node::PutInForce(Bundle bundle) {
+  bundle_ = std::make_shared<const Bundle>(std::move(bundle));
   effects_.push_back(Log{LogCode::kBundleInForce,
                          {{"version", std::to_string(bundle_->version)}}});
+  TellBundleVersion(kBundleFanOut);
+  RefuseWithdrawnKeys();
   auto rule = bundle_->services.find(identity_.service);
   if (rule == bundle_->services.end())
     return;
@@ -59,4 +90,135 @@
     admission_ = std::make_unique<Admission>(rule->second, now_);
 }
 
+void Node::AdvanceBundle() {
+  if (now_ >= next_part_read_ && IsStoreWatcher()) {
+    for (const auto& digest : bundle_intake_.Missing()) {
+      AskStore(StoreRange{std::string(kBundlePartPrefix) + digest},
+               &Node::OnBundlePartRead);
+      next_part_read_ = now_ + kBundlePartRetry;
+    }
+  }
+  if (now_ >= next_bundle_tell_) {
+    next_bundle_tell_ = now_ + kBundleTellInterval;
+    TellBundleVersion(1);
+  }
+}
+
+void Node::TellBundleVersion(size_t peers) {
+  std::vector<const wire::Member*> others;
+  for (const auto& [node, member] : members_) {
+    if (node != identity_.node && !member.control_address().empty())
+      others.push_back(&member);
+  }
+  std::vector<const wire::Member*> chosen;
+  std::ranges::sample(others, std::back_inserter(chosen),
+                      static_cast<std::ptrdiff_t>(peers), random_);
+  for (const auto* member : chosen) {
+    wire::PeerMessage message;
+    message.mutable_rumours()->set_bundle_version(bundle_intake_.version());
+    effects_.push_back(
+        SendToPeer{member->node(), member->control_address(), message});
+  }
+}
+
+void Node::AskForParts(const NodeId& node, const std::string& address) {
+  wire::PeerMessage message;
+  auto* request = message.mutable_bundle_part_request();
+  request->set_known_version(bundle_intake_.newest());
+  for (const auto& digest : bundle_intake_.Missing())
+    request->add_digests(digest);
+  effects_.push_back(SendToPeer{node, address, message});
+}
+
+void Node::OnBundleVersion(const PeerMessageReceived& event) {
+  uint64_t version = event.message.rumours().bundle_version();
+  if (version > bundle_intake_.version()) {
+    // Several members tell a new version at about the same time; one answer
+    // is enough. A version that was checked and rejected is not asked again.
+    bool known = version <= bundle_intake_.newest();
+    if ((known && bundle_intake_.Missing().empty()) ||
+        (version <= asked_version_ && now_ < next_part_ask_)) {
+      return;
+    }
+    asked_version_ = version;
+    next_part_ask_ = now_ + kBundlePartRetry;
+    AskForParts(event.from, event.control_address);
+    return;
+  }
+  if (version == bundle_intake_.version())
+    return;
+  wire::PeerMessage message;
+  message.mutable_rumours()->set_bundle_version(bundle_intake_.version());
+  effects_.push_back(SendToPeer{event.from, event.control_address, message});
+}
+
+void Node::OnBundleHead(const PeerMessageReceived& event) {
+  const auto& head = event.message.bundle_head();
+  if (head.version() <= bundle_intake_.newest())
+    return;
+  // The teller sends the parts; the store is asked only if they do not come.
+  OfferBundle(head.document(), "bundle head from node " + event.from,
+              now_ + kBundlePartRetry);
+  if (!bundle_intake_.Missing().empty())
+    AskForParts(event.from, event.control_address);
+}
+
+void Node::OnBundlePartRequest(const PeerMessageReceived& event) {
+  const auto& request = event.message.bundle_part_request();
+  for (const auto& digest : request.digests()) {
+    const std::string* content = bundle_intake_.Part(digest);
+    if (!content)
+      continue;
+    wire::PeerMessage message;
+    message.mutable_bundle_part()->set_digest(digest);
+    message.mutable_bundle_part()->set_content(*content);
+    effects_.push_back(SendToPeer{event.from, event.control_address, message});
+  }
+  // A peer with an older candidate also needs the head in force here.
+  if (request.known_version() >= bundle_intake_.version())
+    return;
+  wire::PeerMessage message;
+  message.mutable_bundle_head()->set_version(bundle_intake_.version());
+  message.mutable_bundle_head()->set_document(bundle_intake_.document());
+  effects_.push_back(SendToPeer{event.from, event.control_address, message});
+}
+
+void Node::OnBundlePart(const PeerMessageReceived& event) {
+  const auto& part = event.message.bundle_part();
+  if (bundle_intake_.AddPart(part.digest(), part.content()))
+    TakeBundle();
+}
+
+bool Node::KeyInForce(const Call& call) const {
+  if (call.key_id.empty())
+    return true;
+  auto key = bundle_->keys.find(call.key_id);
+  if (key == bundle_->keys.end() ||
+      key->second.organisation != call.organisation) {
+    return false;
+  }
+  // Onward calls carry the identifier of their parent's key, and no key.
+  return !call.request.key || bundle_->FindKey(*call.request.key);
+}
+
+void Node::RefuseWithdrawnKeys() {
+  for (auto& [id, call] : calls_) {
+    if (call.attempt > 0 || call.key_refused || KeyInForce(call))
+      continue;
+    call.key_refused = true;
+    Refuse(call, Reason::kKeyUnknown, Outcome::kNotRun);
+  }
+  std::vector<WorkId> withdrawn;
+  for (const auto& [id, work] : works_) {
+    const std::string& key = work.context.key_id();
+    if (!work.started && !key.empty() && !bundle_->keys.contains(key))
+      withdrawn.push_back(id);
+  }
+  for (WorkId id : withdrawn) {
+    AdmissionChanges changes = admission_->Cancel(id, now_);
+    Reject(id, Reason::kKeyUnknown);
+    Apply(changes);
+  }
+}
+
 }  // namespace comfreylock
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -100,6 +100,11 @@
            call.may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
     return;
   }
+  if (!KeyInForce(call)) {
+    Refuse(call, Reason::kKeyUnknown,
+           call.may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
+    return;
+  }
   const TargetInfo* target = router_.Choose(call.service, call.tried, now_);
   if (!target) {
     Refuse(call, Reason::kNoTarget,
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -21,6 +21,7 @@
   auto found = store_calls_.find(event.call);
   if (found == store_calls_.end())
     return;
+  store_reached_ = !std::holds_alternative<StoreFailure>(event.result);
   auto handler = found->second;
   bool is_watch = std::holds_alternative<StoreWatchResult>(event.result);
   if (!is_watch)
@@ -97,7 +98,20 @@
                          {{"node", node}, {"left", deleted ? "yes" : "no"}}});
 }
 
-void Node::On(const PeerMessageReceived& /*event*/) {}
+void Node::On(const PeerMessageReceived& event) {
+  using Body = wire::PeerMessage;
+  using Handler = void (Node::*)(const PeerMessageReceived&);
+  static constexpr std::pair<Body::BodyCase, Handler> kHandlers[] = {
+      {Body::kRumours, &Node::OnBundleVersion},
+      {Body::kBundleHead, &Node::OnBundleHead},
+      {Body::kBundlePartRequest, &Node::OnBundlePartRequest},
+      {Body::kBundlePart, &Node::OnBundlePart},
+  };
+  for (const auto& [body, handler] : kHandlers) {
+    if (body == event.message.body_case())
+      (this->*handler)(event);
+  }
+}
 
 void Node::On(const DrainRequested& /*event*/) {
   if (draining_)
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include "comfreylock/config.h"
@@ -13,16 +14,23 @@
 namespace {
 
 constexpr size_t kShortestSecretBytes = 16;
+constexpr size_t kShortestToken = 16;
+/// An author and another operator sign each bundle.
+constexpr size_t kFewestOperators = 2;
 
 void CheckAddress(const ObjectReader& reader,
                   std::string_view field,
                   const std::string& address,
                   std::map<std::string, std::string>& listeners) {
+  // A missing address is reported by the reader.
+  if (!reader.Has(field) && address.empty())
+    return;
   try {
     ParseEndpoint(address);
   } catch (const InputError&) {
     reader.Fail(field, "is \"" + address + "\"",
                 "IP:PORT such as 127.0.0.1:8080");
+    return;
   }
   auto [taken, added] = listeners.emplace(address, field);
   if (!added) {
@@ -31,11 +39,55 @@
   }
 }
 
+/// Public keys that sign bundles. Two operators with one key would let a
+/// single person sign twice, so keys must differ.
+void ReadOperators(ObjectReader& reader,
+                   NodeSettings& settings,
+                   ErrorList& errors) {
+  settings.operators = ParseOperators(reader, "operators", errors);
+  if (settings.operators.size() < kFewestOperators) {
+    reader.Fail("operators", "names fewer than two operators",
+                "at least two, as name: public key in hexadecimal");
+  }
+  if (settings.operator_token.size() < kShortestToken) {
+    reader.Fail("operator_token", "is too short",
+                "at least 16 characters, none of them a space");
+  }
+}
+
 }  // namespace
 
+OperatorKeys ParseOperators(ObjectReader& reader,
+                            std::string_view field,
+                            ErrorList& errors) {
+  constexpr size_t kPublicKeyBytes = 32;
+  OperatorKeys operators;
+  const auto* child = reader.Child(field);
+  if (!child)
+    return operators;
+  ObjectReader names(*child, reader.origin(), reader.PathOf(field), errors);
+  if (!child->is_object())
+    return operators;
+  std::set<std::string> seen;
+  for (const auto& [name, value] : child->items()) {
+    std::string hex;
+    names.Read(name, hex);
+    std::string key = FromHex(hex);
+    if (key.size() != kPublicKeyBytes) {
+      names.Fail(name, "is no public key", "64 hexadecimal digits");
+      continue;
+    }
+    if (!seen.insert(key).second)
+      names.Fail(name, "is the key of another operator", "a key for each");
+    operators[name] = key;
+  }
+  return operators;
+}
+
 NodeSettings ParseNodeSettings(std::string_view text, std::string_view origin) {
   nlohmann::json document = ParseJson(text, origin);
-  ObjectReader reader(document, std::string(origin), "");
+  ErrorList errors;
+  ObjectReader reader(document, std::string(origin), "", errors);
   NodeSettings settings;
   reader.Read("node", settings.node, true);
   reader.Read("zone", settings.zone, true);
@@ -50,6 +102,8 @@
   reader.Read("fleet_secret_hex", settings.fleet_secret_hex, true);
   reader.Read("seeds", settings.seeds);
   reader.Read("log_file", settings.log_file);
+  reader.Read("operator_token", settings.operator_token, true);
+  reader.Child("operators");
   reader.Read("header_timeout", settings.header_timeout, 10ms, 10min);
   reader.Read("idle_timeout", settings.idle_timeout, 10ms, 1h);
   reader.Finish();
@@ -74,6 +128,8 @@
     reader.Fail("fleet_secret_hex", "is too short or not hexadecimal",
                 "at least 32 hexadecimal digits");
   }
+  ReadOperators(reader, settings, errors);
+  errors.ThrowIfAny();
   return settings;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,6 +6,9 @@
 #include <string_view>
 #include <vector>
 
+#include "comfreylock/bundle_head.h"
+#include "json_reader.h"
+
 /// Settings of one node, read from a JSON file with comments.
 namespace comfreylock {
 
@@ -24,6 +27,8 @@
   std::string fleet_secret_hex;    ///< Authenticates nodes to each other.
   std::vector<std::string> seeds;  ///< Control addresses of first peers.
   std::string log_file;            ///< Empty: standard error.
+  OperatorKeys operators;          ///< Who signs bundles; at least two.
+  std::string operator_token;      ///< Bearer token of the operator listener.
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds idle_timeout{60'000};
 };
@@ -33,6 +38,12 @@
 /// @throws InputError naming the field, what was wrong and what is allowed.
 NodeSettings ParseNodeSettings(std::string_view text, std::string_view origin);
 
+/// Reads an object of operator names and public keys, hexadecimal.
+/// @return the raw public keys; errors are added to `errors`.
+OperatorKeys ParseOperators(ObjectReader& reader,
+                            std::string_view field,
+                            ErrorList& errors);
+
 /// @throws InputError if the file cannot be read.
 std::string ReadFile(const std::string& path);
 
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -29,6 +29,7 @@
   identity.peer_address = settings.peer_address;
   identity.control_address = settings.control_address;
   identity.seeds = settings.seeds;
+  identity.operators = settings.operators;
   identity.incarnation =
       static_cast<uint64_t>(ReadWallClock().time_since_epoch().count());
   identity.seed =
@@ -60,7 +61,8 @@
              settings_.store_address,
              [this](StoreCallId call, StoreResult result) {
                Feed(StoreAnswered{call, std::move(result)});
-             }) {}
+             }),
+      operator_(context_, OperatorHost(), settings_.operator_token) {}
 
 Shell::~Shell() = default;
 
@@ -68,6 +70,7 @@
   edge_.Listen(settings_.caller_address, false);
   edge_.Listen(settings_.onward_address, true);
   peer_.Listen(settings_.peer_address);
+  operator_.Listen(settings_.operator_address);
   asio::co_spawn(context_, Ticks(), asio::detached);
   asio::co_spawn(context_, Signals(), asio::detached);
   WriteLog(Log{LogCode::kNodeStarted,
@@ -75,9 +78,49 @@
   context_.run();
 }
 
-void Shell::Feed(EventBody event) {
-  Effects effects =
-      node_->Reduce(Event{ReadNodeClock(), ReadWallClock(), std::move(event)});
+HttpOperator::Host Shell::OperatorHost() {
+  return {[this] { return StatusJson(); },
+          [this] { return observer_.metrics().Text(node_->status()); },
+          [this](const std::string& id) { return ExplainJson(id); },
+          [this] { Feed(DrainRequested{}); }};
+}
+
+std::string Shell::StatusJson() const {
+  NodeStatus status = node_->status();
+  nlohmann::json document = {
+      {"node", settings_.node},
+      {"zone", settings_.zone},
+      {"service", settings_.service},
+      {"bundle_version", status.bundle_version},
+      {"members", status.members},
+      {"calls", status.calls},
+      {"in_flight", status.in_flight},
+      {"queued", status.queued},
+      {"limit", status.limit},
+      {"shed_level", status.shed_level},
+      {"draining", status.draining},
+      {"store", status.store_reached ? "reached" : "away"}};
+  return document.dump();
+}
+
+std::string Shell::ExplainJson(const std::string& request_id) const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& decision : observer_.decisions().About(request_id)) {
+    nlohmann::json figures = nlohmann::json::object();
+    for (const auto& [name, value] : decision.figures)
+      figures[std::string(name)] = value;
+    list.push_back({{"time", FormatWallTime(decision.time)},
+                    {"node", settings_.node},
+                    {"decision", decision.decision},
+                    {"figures", figures}});
+  }
+  return list.dump();
+}
+
+void Shell::Feed(EventBody body) {
+  Event event{ReadNodeClock(), ReadWallClock(), std::move(body)};
+  Effects effects = node_->Reduce(event);
+  observer_.Observe(event, effects, *node_);
   for (const auto& effect : effects)
     std::visit([this](const auto& body) { Apply(body); }, effect);
 }
--- a/src/shell.h
+++ b/src/shell.h
@@ -10,7 +10,9 @@
 
 #include "comfreylock/reducer.h"
 #include "http_edge.h"
+#include "http_operator.h"
 #include "http_peer.h"
+#include "observer.h"
 #include "settings.h"
 #include "store_etcd.h"
 
@@ -47,6 +49,10 @@
   void Apply(const Log& effect);
   void Apply(const Exit& effect);
 
+  HttpOperator::Host OperatorHost();
+  std::string StatusJson() const;
+  std::string ExplainJson(const std::string& request_id) const;
+
   asio::awaitable<void> Ticks();
   asio::awaitable<void> Signals();
 
@@ -58,6 +64,8 @@
   HttpEdge edge_;
   HttpPeer peer_;
   EtcdStore store_;
+  HttpOperator operator_;
+  Observer observer_;
   uint64_t last_id_ = 0;
 };
 
--- /dev/null
+++ b/tests/core/reducer_bundle_test.cc
@@ -0,0 +1,232 @@
+#include <algorithm>
+#include <deque>
+
+#include <gtest/gtest.h>
+
+#include "comfreylock/config.h"
+#include "comfreylock/reducer.h"
+#include "signed_bundle.h"
+
+namespace comfreylock {
+namespace {
+
+constexpr char kBundle[] = R"({
+  "key_salt": "00ff",
+  "services": {"proofs": {"slots": 1}},
+  "organisations": {"kamilla": {"rate": 10, "burst": 5}},
+  "routes": [{"name": "all", "path": "/", "service": "proofs"}],
+  "keys": [{"id": "k1", "organisation": "kamilla", "hash":
+    "0000000000000000000000000000000000000000000000000000000000000000"}]
+})";
+
+std::string WithoutKeys() {
+  std::string text = kBundle;
+  size_t start = text.find("\"keys\"");
+  return text.replace(start, text.rfind(']') - start, "\"keys\": [");
+}
+
+/// Some nodes on one clock; messages between them arrive in order unless the
+/// link is cut, and the store answers nothing unless a test does it.
+class Nodes : public testing::Test {
+ protected:
+  Node& Add(const NodeId& name) {
+    NodeIdentity identity;
+    identity.node = name;
+    identity.service = "proofs";
+    identity.zone = "a";
+    identity.control_address = name + ":1";
+    identity.seed = nodes_.size() + 1;
+    identity.operators = operators_.keys();
+    nodes_[name] = std::make_unique<Node>(identity, now_);
+    return *nodes_[name];
+  }
+
+  void Feed(const NodeId& name, EventBody body) {
+    for (auto& effect :
+         nodes_.at(name)->Reduce(Event{now_, {}, std::move(body)})) {
+      if (auto* send = std::get_if<SendToPeer>(&effect)) {
+        if (lost_messages_ > 0)
+          --lost_messages_;
+        else
+          messages_.emplace_back(name, *send);
+      }
+      effects_[name].push_back(std::move(effect));
+    }
+  }
+
+  void DeliverAll() {
+    while (!messages_.empty()) {
+      auto [from, send] = messages_.front();
+      messages_.pop_front();
+      Feed(send.node, PeerMessageReceived{from, from + ":1", 1, send.message});
+    }
+  }
+
+  void Pass(std::chrono::milliseconds time) {
+    for (auto end = now_ + time; now_ < end; now_ += kTickInterval) {
+      for (const auto& [name, node] : nodes_)
+        Feed(name, Tick{});
+      DeliverAll();
+    }
+  }
+
+  /// Answers the newest range request for `key` at `name`.
+  void AnswerRange(const NodeId& name,
+                   const std::string& key,
+                   std::vector<StoreEntry> entries) {
+    StoreCallId call;
+    for (const auto& effect : effects_[name]) {
+      const auto* ask = std::get_if<CallStore>(&effect);
+      const auto* range =
+          ask ? std::get_if<StoreRange>(&ask->request) : nullptr;
+      if (range && range->key == key)
+        call = ask->call;
+    }
+    ASSERT_TRUE(call) << key;
+    Feed(name, StoreAnswered{call, StoreRangeResult{entries, 1, false}});
+  }
+
+  /// Lets `name` find the head and all parts in the store.
+  void GiveFromStore(const NodeId& name, const SplitBundle& bundle) {
+    std::string head(kBundleHeadKey);
+    AnswerRange(name, head, {{head, FormatBundleHead(bundle.head)}});
+    for (const auto& [digest, content] : bundle.parts) {
+      std::string key = std::string(kBundlePartPrefix) + digest;
+      AnswerRange(name, key, {{key, content}});
+    }
+  }
+
+  void MakeMembers() {
+    std::string prefix = "/comfreylock/members/";
+    std::vector<StoreEntry> entries;
+    for (const auto& [name, node] : nodes_) {
+      wire::Member member;
+      member.set_node(name);
+      member.set_service("proofs");
+      member.set_zone("a");
+      member.set_peer_address(name + ":2");
+      member.set_control_address(name + ":1");
+      entries.push_back({prefix + "a/" + name, member.SerializeAsString()});
+    }
+    for (const auto& [name, node] : nodes_) {
+      Feed(name, Tick{});
+      AnswerRange(name, prefix, entries);
+    }
+  }
+
+  uint64_t VersionAt(const NodeId& name) {
+    return nodes_.at(name)->status().bundle_version;
+  }
+
+  TestOperators operators_;
+  TimePoint now_{1s};
+  std::map<NodeId, std::unique_ptr<Node>> nodes_;
+  std::map<NodeId, Effects> effects_;
+  std::deque<std::pair<NodeId, SendToPeer>> messages_;
+  int lost_messages_ = 0;
+};
+
+using ReducerBundleTest = Nodes;
+
+// Guards against nodes that stay behind when the store answers only one of
+// them, also when the first messages are lost.
+TEST_F(ReducerBundleTest, SpreadsFromPeerToPeer) {
+  for (int i = 0; i < 8; ++i)
+    Add("node-" + std::to_string(i));
+  MakeMembers();
+  lost_messages_ = 6;
+  GiveFromStore("node-0", operators_.Signed(kBundle, 1));
+  EXPECT_EQ(VersionAt("node-0"), 1u);
+  Pass(3s);
+  for (const auto& [name, node] : nodes_)
+    EXPECT_EQ(VersionAt(name), 1u) << name;
+}
+
+// Guards against a peer that can put an unsigned bundle into force.
+TEST_F(ReducerBundleTest, VerifiesWhatPeersSend) {
+  Add("node-0");
+  Add("node-1");
+  SplitBundle bundle = operators_.Signed(kBundle, 1);
+  bundle.head.signatures.pop_back();
+  wire::PeerMessage message;
+  message.mutable_bundle_head()->set_version(1);
+  message.mutable_bundle_head()->set_document(FormatBundleHead(bundle.head));
+  Feed("node-0", PeerMessageReceived{"node-1", "node-1:1", 1, message});
+  for (const auto& [digest, content] : bundle.parts) {
+    message.mutable_bundle_part()->set_digest(digest);
+    message.mutable_bundle_part()->set_content(content);
+    Feed("node-0", PeerMessageReceived{"node-1", "node-1:1", 1, message});
+  }
+  EXPECT_EQ(VersionAt("node-0"), 0u);
+}
+
+// Guards against a queued request that runs under a withdrawn key, and
+// against a running request that is cut by the withdrawal.
+TEST_F(ReducerBundleTest, WithdrawnKeyStopsQueuedWorkOnly) {
+  Node& node = Add("node-0");
+  Feed("node-0", Tick{});
+  GiveFromStore("node-0", operators_.Signed(kBundle, 1));
+  for (uint64_t id : {1, 2}) {
+    WorkArrived work{WorkId{id}, {}};
+    work.context.set_request_id("r" + std::to_string(id));
+    work.context.set_service("proofs");
+    work.context.set_organisation("kamilla");
+    work.context.set_key_id("k1");
+    work.context.set_remaining_ms(60'000);
+    Feed("node-0", work);
+  }
+  ASSERT_EQ(node.status().in_flight, 1u);
+  ASSERT_EQ(node.status().queued, 1u);
+  SplitBundle next = operators_.Signed(WithoutKeys(), 2);
+  wire::PeerMessage message;
+  message.mutable_bundle_head()->set_version(2);
+  message.mutable_bundle_head()->set_document(FormatBundleHead(next.head));
+  Feed("node-0", PeerMessageReceived{"node-1", "node-1:1", 1, message});
+  EXPECT_EQ(VersionAt("node-0"), 2u);
+  std::vector<std::pair<WorkId, Reason>> rejected;
+  for (const auto& effect : effects_["node-0"]) {
+    if (const auto* reject = std::get_if<RejectWork>(&effect))
+      rejected.emplace_back(reject->work, reject->refusal.reason);
+  }
+  ASSERT_EQ(rejected.size(), 1u);
+  EXPECT_EQ(rejected[0], std::pair(WorkId{2}, Reason::kKeyUnknown));
+  EXPECT_EQ(node.status().in_flight, 1u);
+  EXPECT_EQ(node.status().queued, 0u);
+}
+
+// Guards against a retry that is sent out under a withdrawn key.
+TEST_F(ReducerBundleTest, WithdrawnKeyStopsRetries) {
+  Add("node-0");
+  Add("node-1");
+  MakeMembers();
+  GiveFromStore("node-0", operators_.Signed(kBundle, 1));
+  CallArrived call{CallId{7}, {}};
+  call.request.method = "GET";
+  call.request.target = "/x";
+  call.request.key = PresentedKey{"k1", std::string(64, '0')};
+  Feed("node-0", call);
+  ASSERT_TRUE(std::ranges::any_of(effects_["node-0"], [](const auto& effect) {
+    return std::holds_alternative<Dispatch>(effect);
+  }));
+  std::string head(kBundleHeadKey);
+  SplitBundle next = operators_.Signed(WithoutKeys(), 2);
+  wire::PeerMessage message;
+  message.mutable_bundle_head()->set_version(2);
+  message.mutable_bundle_head()->set_document(FormatBundleHead(next.head));
+  Feed("node-0", PeerMessageReceived{"node-1", "node-1:1", 1, message});
+  AttemptEnded ended{CallId{7}, 1, AttemptKind::kNotSent};
+  effects_["node-0"].clear();
+  Feed("node-0", ended);
+  const RefuseCall* refused = nullptr;
+  for (const auto& effect : effects_["node-0"]) {
+    EXPECT_FALSE(std::holds_alternative<Dispatch>(effect));
+    if (const auto* refuse = std::get_if<RefuseCall>(&effect))
+      refused = refuse;
+  }
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->refusal.reason, Reason::kKeyUnknown);
+  EXPECT_EQ(refused->refusal.outcome, Outcome::kNotRun);
+}
+
+}  // namespace
+}  // namespace comfreylock
--- /dev/null
+++ b/tests/io/observer_test.cc
@@ -0,0 +1,72 @@
+#include "observer.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "http_operator.h"
+
+namespace comfreylock {
+namespace {
+
+using namespace std::chrono_literals;
+
+using testing::HasSubstr;
+using testing::Not;
+
+// Guards against memory that grows with each request.
+TEST(DecisionLogTest, KeepsTheLatestOnly) {
+  DecisionLog log(2);
+  for (const char* id : {"a", "b", "c"})
+    log.Add({WallTime(5ms), id, "refused", {}});
+  EXPECT_TRUE(log.About("a").empty());
+  EXPECT_EQ(log.About("c").size(), 1u);
+  EXPECT_EQ(FormatWallTime(WallTime(1005ms)), "1970-01-01T00:00:01.005Z");
+}
+
+// Guards against buckets that are not cumulative, and against one series for
+// each made-up organisation.
+TEST(MetricsTest, CountsInBoundedSeries) {
+  Metrics metrics;
+  metrics.RecordCall("kamilla", 0, 3ms);
+  metrics.RecordCall("kamilla", 0, 30s);
+  metrics.RecordRefusal("kamilla", Reason::kOverRate);
+  std::string text = metrics.Text({});
+  std::string labels = "{organisation=\"kamilla\",importance=\"0\"";
+  EXPECT_THAT(text, HasSubstr("_bucket" + labels + ",le=\"0.0025\"} 0\n"));
+  EXPECT_THAT(text, HasSubstr("_bucket" + labels + ",le=\"0.005\"} 1\n"));
+  EXPECT_THAT(text, HasSubstr("_bucket" + labels + ",le=\"10\"} 1\n"));
+  EXPECT_THAT(text, HasSubstr("_bucket" + labels + ",le=\"+Inf\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr("reason=\"over_rate\"} 1\n"));
+  for (int i = 0; i < 100; ++i)
+    metrics.RecordCall("made-up-" + std::to_string(i), 0, 1ms);
+  text = metrics.Text({});
+  EXPECT_THAT(text, HasSubstr("organisation=\"other\""));
+  EXPECT_THAT(text, Not(HasSubstr("made-up-99")));
+}
+
+// Guards against an explanation that leaves out why a call was refused.
+TEST(ObserverTest, RecordsTheRefusalOfACall) {
+  Observer observer;
+  NodeIdentity identity;
+  identity.node = "n";
+  Node node(identity, TimePoint(1s));
+  CallArrived call{CallId{1}, {}};
+  call.request.request_id = "r1";
+  Event event{TimePoint(1s), WallTime(1s), call};
+  observer.Observe(event, node.Reduce(event), node);
+  auto decisions = observer.decisions().About("r1");
+  ASSERT_EQ(decisions.size(), 1u);
+  EXPECT_EQ(decisions[0].decision, "refused");
+  EXPECT_EQ(decisions[0].figures[0].second, "no_bundle");
+  EXPECT_THAT(observer.metrics().Text({}), HasSubstr("no_bundle\"} 1"));
+}
+
+// Guards against a request id that is not found because it was encoded.
+TEST(HttpOperatorTest, DecodesQueryParameters) {
+  EXPECT_EQ(QueryParameter("/explain?x=1&request_id=a%2Fb%", "request_id"),
+            "a/b%");
+  EXPECT_EQ(QueryParameter("/explain", "request_id"), "");
+}
+
+}  // namespace
+}  // namespace comfreylock
--- a/tests/io/settings_test.cc
+++ b/tests/io/settings_test.cc
@@ -14,7 +14,13 @@
   "peer_address": "127.0.0.1:1003", "control_address": "127.0.0.1:1004",
   "operator_address": "127.0.0.1:1005", "target_address": "127.0.0.1:1006",
   "store_address": "127.0.0.1:1007",
-  "fleet_secret_hex": "000102030405060708090a0b0c0d0e0f"
+  "fleet_secret_hex": "000102030405060708090a0b0c0d0e0f",
+  "operator_token": "0123456789abcdef",
+  "operators": {
+    "anna":
+      "1111111111111111111111111111111111111111111111111111111111111111",
+    "bela":
+      "2222222222222222222222222222222222222222222222222222222222222222"}
 })";
 
 std::string ErrorWith(const std::string& from, const std::string& to) {
@@ -40,5 +46,23 @@
             std::string::npos);
 }
 
+// Guards against an operator who has to start the node once for each mistake,
+// and against one person who signs under two names.
+TEST(SettingsTest, ReportsAllErrorsAtOnce) {
+  std::string text = kSettings;
+  text.replace(text.find("\"zone\""), 6, "\"area\"");
+  text.replace(text.find("2222"), 64, std::string(64, '1'));
+  std::string error;
+  try {
+    ParseNodeSettings(text, "node.json");
+  } catch (const InputError& thrown) {
+    error = thrown.what();
+  }
+  for (const char* part : {"node.json: zone: is missing", "area: is unknown",
+                           "operators.bela: is the key of another operator"}) {
+    EXPECT_NE(error.find(part), std::string::npos) << part << "\n" << error;
+  }
+}
+
 }  // namespace
 }  // namespace comfreylock
