Print defaults and log events; limit repeated log lines; add example settings

Cause: operators could not see the defaults, the log catalogue was not published, and a flood of refusals wrote one line for each.

--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -33,6 +33,11 @@
 /// Decisions kept for `explain`; about 400 bytes each.
 inline constexpr size_t kDecisionsKept = 8192;
 
+// Log.
+/// Lines of one number and reason written in each interval.
+inline constexpr uint32_t kLogLinesPerKind = 50;
+inline constexpr std::chrono::milliseconds kLogInterval = 1s;
+
 // Bundle.
 /// Members that are told at once of a newer version.
 inline constexpr size_t kBundleFanOut = 4;
--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -2,6 +2,7 @@
 #define COMFREYLOCK_LOG_EVENT_H_
 
 #include <span>
+#include <string>
 #include <string_view>
 
 /// Numbered log events. The catalogue is docs/log-events.md.
@@ -40,6 +41,9 @@
 /// @return all events, ordered by number.
 std::span<const LogEventInfo> LogCatalogue();
 
+/// @return the text of docs/log-events.md.
+std::string LogCatalogueMarkdown();
+
 /// @return the catalogue's line for `code`.
 const LogEventInfo& InfoOf(LogCode code);
 
--- a/programs/ctl_main.cc
+++ b/programs/ctl_main.cc
@@ -10,6 +10,7 @@
 
 #include "comfreylock/types.h"
 #include "ctl/ctl.h"
+#include "flag_names.h"
 
 ABSL_FLAG(std::string,
           settings,
@@ -74,15 +75,13 @@
 }
 
 /// Abseil ends the process with 1 on an unknown flag, but bad input ends with
-/// 2 here, so flags are checked first. Dashes within names are allowed.
+/// 2 here, so flags are checked first.
 std::vector<std::string> CheckedArguments(int argc, char** argv) {
   std::vector<std::string> arguments;
   for (int i = 0; i < argc; ++i) {
-    std::string argument = argv[i];
+    std::string argument = comfreylock::NormalisedFlag(argv[i]);
     if (i > 0 && argument.starts_with("--") && argument.size() > 2) {
       size_t equals = std::min(argument.find('='), argument.size());
-      for (size_t j = 2; j < equals; ++j)
-        argument[j] = argument[j] == '-' ? '_' : argument[j];
       if (!absl::FindCommandLineFlag(argument.substr(2, equals - 2))) {
         throw InputError(std::string(argv[i]) +
                          ": is unknown; allowed: --settings, --sign-with, "
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -40,12 +40,40 @@
      "A bundle was refused; the one before stays in force."},
 };
 
+std::string_view NameOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
 }  // namespace
 
 std::span<const LogEventInfo> LogCatalogue() {
   return kCatalogue;
 }
 
+std::string LogCatalogueMarkdown() {
+  std::string text =
+      "# Log events\n\n"
+      "Each line is `time level number name field=value ...`. Numbers are "
+      "never reused.\nRepeats of one number and reason are counted: "
+      "`number name repeated=COUNT`.\n\n"
+      "This page is printed by `comfreylock-node --print-log-events`.\n\n"
+      "| number | level | name | meaning |\n|---|---|---|---|\n";
+  for (const auto& info : kCatalogue) {
+    text += "| " + std::to_string(static_cast<int>(info.code)) + " | " +
+            std::string(NameOf(info.level)) + " | " + std::string(info.name) +
+            " | " + std::string(info.meaning) + " |\n";
+  }
+  return text;
+}
+
 const LogEventInfo& InfoOf(LogCode code) {
   const auto* found = std::ranges::find(kCatalogue, code, &LogEventInfo::code);
   if (found == std::end(kCatalogue))
--- /dev/null
+++ b/src/log_repeats.cc
@@ -0,0 +1,29 @@
+#include "log_repeats.h"
+
+namespace comfreylock {
+
+bool LogRepeats::Take(const std::string& kind, Clock::time_point now) {
+  Window& window = windows_.try_emplace(kind, Window{now}).first->second;
+  if (window.written < lines_) {
+    ++window.written;
+    return true;
+  }
+  ++window.left_out;
+  return false;
+}
+
+std::vector<LogRepeats::LeftOut> LogRepeats::Ended(Clock::time_point now) {
+  std::vector<LeftOut> ended;
+  for (auto it = windows_.begin(); it != windows_.end();) {
+    if (now - it->second.start < interval_) {
+      ++it;
+      continue;
+    }
+    if (it->second.left_out > 0)
+      ended.emplace_back(it->first, it->second.left_out);
+    it = windows_.erase(it);
+  }
+  return ended;
+}
+
+}  // namespace comfreylock
--- a/src/log_writer.cc
+++ b/src/log_writer.cc
@@ -7,6 +7,9 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include "comfreylock/config.h"
+#include "log_repeats.h"
+
 namespace comfreylock {
 namespace {
 
@@ -17,6 +20,23 @@
   return logger;
 }
 
+LogRepeats& Repeats() {
+  static LogRepeats repeats(kLogLinesPerKind, kLogInterval);
+  return repeats;
+}
+
+/// @return the event's number, name and reason; lines that share these are
+/// taken for repeats.
+std::string KindOf(const Log& event) {
+  std::string kind = std::to_string(static_cast<int>(event.code)) + " " +
+                     std::string(InfoOf(event.code).name);
+  for (const auto& [name, value] : event.fields) {
+    if (name == "reason")
+      kind += " reason=" + value;
+  }
+  return kind;
+}
+
 log4cplus::LogLevel LevelOf(LogLevel level) {
   switch (level) {
     case LogLevel::kInfo:
@@ -62,6 +82,8 @@
 }
 
 void WriteLog(const Log& event) {
+  if (!Repeats().Take(KindOf(event), LogRepeats::Clock::now()))
+    return;
   const LogEventInfo& info = InfoOf(event.code);
   std::string line = std::to_string(static_cast<int>(event.code)) + " " +
                      std::string(info.name);
@@ -70,4 +92,11 @@
   NodeLogger().log(LevelOf(info.level), line);
 }
 
+void WriteLogRepeats() {
+  for (const auto& [kind, count] : Repeats().Ended(LogRepeats::Clock::now())) {
+    NodeLogger().log(log4cplus::INFO_LOG_LEVEL,
+                     kind + " repeated=" + std::to_string(count));
+  }
+}
+
 }  // namespace comfreylock
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -28,6 +28,8 @@
 constexpr size_t kMaxOrganisations = 64;
 constexpr char kOtherOrganisations[] = "other";
 constexpr double kQuantile = 0.99;
+/// Below this many calls the estimate of the quantile is meaningless.
+constexpr uint64_t kFewestForQuantile = 100;
 
 /// Upper bounds of the latency buckets, seconds.
 const std::vector<double>& Bounds() {
@@ -158,6 +160,8 @@
   Header(out, "comfreylock_call_seconds_p99", "gauge",
          "Estimated 99th percentile of the latency.");
   for (const auto& [key, series] : series_) {
+    if (series->count < kFewestForQuantile)
+      continue;
     out << "comfreylock_call_seconds_p99{organisation=" << Label(key.first)
         << ",importance=\"" << key.second << "\"} "
         << accumulators::p_square_quantile(series->summary) << "\n";
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -133,6 +133,21 @@
   return settings;
 }
 
+std::string DefaultSettingsText() {
+  const NodeSettings defaults;
+  auto milliseconds = [](std::chrono::milliseconds time) {
+    return std::to_string(time.count()) + "ms";
+  };
+  nlohmann::ordered_json document = {
+      {"service", defaults.service},
+      {"target_address", defaults.target_address},
+      {"seeds", defaults.seeds},
+      {"log_file", defaults.log_file},
+      {"header_timeout", milliseconds(defaults.header_timeout)},
+      {"idle_timeout", milliseconds(defaults.idle_timeout)}};
+  return document.dump(2) + "\n";
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file)
--- a/src/settings.h
+++ b/src/settings.h
@@ -44,6 +44,9 @@
                             std::string_view field,
                             ErrorList& errors);
 
+/// @return all fields that have a default, with it, as JSON.
+std::string DefaultSettingsText();
+
 /// @throws InputError if the file cannot be read.
 std::string ReadFile(const std::string& path);
 
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -190,6 +190,7 @@
 
 void Shell::Apply(const Exit& /*effect*/) {
   edge_.StopAccepting();
+  WriteLogRepeats();
   context_.stop();
 }
 
@@ -201,6 +202,7 @@
     co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     Feed(Tick{});
+    WriteLogRepeats();
   }
 }
 
--- /dev/null
+++ b/tests/core/log_event_test.cc
@@ -0,0 +1,53 @@
+#include "comfreylock/log_event.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "log_repeats.h"
+
+namespace comfreylock {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against log lines that operators find in no catalogue.
+TEST(LogEventTest, PageIsInStepWithTheCatalogue) {
+  std::ifstream file(std::string(COMFREYLOCK_SOURCE_DIR) +
+                     "/docs/log-events.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  EXPECT_EQ(page.str(), LogCatalogueMarkdown())
+      << "run build/bin/comfreylock-node --print-log-events > "
+         "docs/log-events.md";
+}
+
+// Guards against a number that stands for two events.
+TEST(LogEventTest, NumbersAscend) {
+  auto events = LogCatalogue();
+  auto repeated = std::ranges::adjacent_find(
+      events, std::ranges::greater_equal(), &LogEventInfo::code);
+  EXPECT_EQ(repeated, events.end());
+}
+
+// Guards against a flood of equal lines, and against lines that vanish
+// without a count.
+TEST(LogRepeatsTest, CountsWhatIsLeftOut) {
+  LogRepeats repeats(2, 1s);
+  LogRepeats::Clock::time_point now{};
+  int written = 0;
+  for (int i = 0; i < 10; ++i)
+    written += repeats.Take("200 call_refused", now) ? 1 : 0;
+  EXPECT_EQ(written, 2);
+  EXPECT_TRUE(repeats.Take("300 work_rejected", now));
+  EXPECT_TRUE(repeats.Ended(now + 999ms).empty());
+  auto ended = repeats.Ended(now + 1s);
+  ASSERT_EQ(ended.size(), 1u);
+  EXPECT_EQ(ended[0], LogRepeats::LeftOut("200 call_refused", 8));
+  EXPECT_TRUE(repeats.Take("200 call_refused", now + 1s));
+}
+
+}  // namespace
+}  // namespace comfreylock
--- a/tests/io/settings_test.cc
+++ b/tests/io/settings_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "comfreylock/types.h"
+#include "ctl_settings.h"
 
 namespace comfreylock {
 namespace {
@@ -64,5 +65,35 @@
   }
 }
 
+// Guards against a printed default that the parser refuses or does not have.
+TEST(SettingsTest, PrintedDefaultsAreTheDefaults) {
+  std::string text = DefaultSettingsText();
+  std::string required = kSettings;
+  // Service and target have no effect on the others.
+  for (const char* field : {"\"service\": \"proofs\",",
+                            "\"target_address\": \"127.0.0.1:1006\","}) {
+    required.erase(required.find(field), std::string(field).size());
+  }
+  std::string merged = required.substr(0, required.rfind('}')) + "," +
+                       text.substr(text.find('{') + 1);
+  NodeSettings with = ParseNodeSettings(merged, "merged");
+  NodeSettings without = ParseNodeSettings(required, "required");
+  EXPECT_EQ(with.header_timeout, without.header_timeout);
+  EXPECT_EQ(with.idle_timeout, without.idle_timeout);
+  EXPECT_EQ(with.seeds, without.seeds);
+  EXPECT_EQ(with.log_file, without.log_file);
+}
+
+// Guards against examples that no longer work.
+TEST(SettingsTest, ExamplesAreValid) {
+  std::string examples = std::string(COMFREYLOCK_SOURCE_DIR) + "/examples/";
+  for (const char* shape : {"herb", "ertis"}) {
+    std::string node = examples + shape + "/node.json";
+    EXPECT_NO_THROW(ParseNodeSettings(ReadFile(node), node));
+    std::string ctl = examples + shape + "/ctl.json";
+    EXPECT_NO_THROW(ParseCtlSettings(ReadFile(ctl), ctl));
+  }
+}
+
 }  // namespace
 }  // namespace comfreylock
