--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -88,6 +88,22 @@
 inline constexpr double kDemandGrowth = 1.25;
 /// Difference from the wanted share that is not corrected at once.
 inline constexpr double kShareSlack = 0.1;
+// Operators.
+/// Decisions kept for `explain`; about 400 bytes each.
+inline constexpr size_t kDecisionsKept = 8192;
+
+// Log.
+/// Lines of one number and reason written in each interval.
+inline constexpr uint32_t kLogLinesPerKind = 50;
+inline constexpr std::chrono::milliseconds kLogInterval = 1s;
+
+// Bundle.
+/// Members that are told at once of a newer version.
+inline constexpr size_t kBundleFanOut = 4;
+/// Interval at which one member is told the version in force; closes gaps.
+inline constexpr std::chrono::milliseconds kBundleTellInterval = 1s;
+/// Pause before parts that did not arrive are asked for again.
+inline constexpr std::chrono::milliseconds kBundlePartRetry = 500ms;
 
 }  // namespace comfreylock
 
--- a/src/shell.h
+++ b/src/shell.h
@@ -10,8 +10,10 @@
 
 #include "comfreylock/reducer.h"
 #include "http_edge.h"
+#include "http_operator.h"
 #include "http_peer.h"
 #include "peer_zmq.h"
+#include "observer.h"
 #include "settings.h"
 #include "store_etcd.h"
 
@@ -50,6 +52,10 @@
   void Apply(const Log& effect);
   void Apply(const Exit& effect);
 
+  HttpOperator::Host OperatorHost();
+  std::string StatusJson() const;
+  std::string ExplainJson(const std::string& request_id) const;
+
   asio::awaitable<void> Ticks();
   asio::awaitable<void> Signals();
 
@@ -62,6 +68,8 @@
   HttpPeer peer_;
   EtcdStore store_;
   PeerZmq control_;
+  HttpOperator operator_;
+  Observer observer_;
   uint64_t last_id_ = 0;
 };
 
--- a/tests/io/settings_test.cc
+++ b/tests/io/settings_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "comfreylock/types.h"
+#include "ctl_settings.h"
 
 namespace comfreylock {
 namespace {
@@ -14,7 +15,13 @@
   "peer_address": "127.0.0.1:1003", "control_address": "127.0.0.1:1004",
   "operator_address": "127.0.0.1:1005", "target_address": "127.0.0.1:1006",
   "store_address": "127.0.0.1:1007",
-  "fleet_secret_hex": "000102030405060708090a0b0c0d0e0f"
+  "fleet_secret_hex": "000102030405060708090a0b0c0d0e0f",
+  "operator_token": "0123456789abcdef",
+  "operators": {
+    "anna":
+      "1111111111111111111111111111111111111111111111111111111111111111",
+    "bela":
+      "2222222222222222222222222222222222222222222222222222222222222222"}
 })";
 
 std::string ErrorWith(const std::string& from, const std::string& to) {
@@ -40,5 +47,53 @@
             std::string::npos);
 }
 
+// Guards against an operator who has to start the node once for each mistake,
+// and against one person who signs under two names.
+TEST(SettingsTest, ReportsAllErrorsAtOnce) {
+  std::string text = kSettings;
+  text.replace(text.find("\"zone\""), 6, "\"area\"");
+  text.replace(text.find("2222"), 64, std::string(64, '1'));
+  std::string error;
+  try {
+    ParseNodeSettings(text, "node.json");
+  } catch (const InputError& thrown) {
+    error = thrown.what();
+  }
+  for (const char* part : {"node.json: zone: is missing", "area: is unknown",
+                           "operators.bela: is the key of another operator"}) {
+    EXPECT_NE(error.find(part), std::string::npos) << part << "\n" << error;
+  }
+}
+
+// Guards against a printed default that the parser refuses or does not have.
+TEST(SettingsTest, PrintedDefaultsAreTheDefaults) {
+  std::string text = DefaultSettingsText();
+  std::string required = kSettings;
+  // Service and target have no effect on the others.
+  for (const char* field : {"\"service\": \"proofs\",",
+                            "\"target_address\": \"127.0.0.1:1006\","}) {
+    required.erase(required.find(field), std::string(field).size());
+  }
+  std::string merged = required.substr(0, required.rfind('}')) + "," +
+                       text.substr(text.find('{') + 1);
+  NodeSettings with = ParseNodeSettings(merged, "merged");
+  NodeSettings without = ParseNodeSettings(required, "required");
+  EXPECT_EQ(with.header_timeout, without.header_timeout);
+  EXPECT_EQ(with.idle_timeout, without.idle_timeout);
+  EXPECT_EQ(with.seeds, without.seeds);
+  EXPECT_EQ(with.log_file, without.log_file);
+}
+
+// Guards against examples that no longer work.
+TEST(SettingsTest, ExamplesAreValid) {
+  std::string examples = std::string(COMFREYLOCK_SOURCE_DIR) + "/examples/";
+  for (const char* shape : {"herb", "ertis"}) {
+    std::string node = examples + shape + "/node.json";
+    EXPECT_NO_THROW(ParseNodeSettings(ReadFile(node), node));
+    std::string ctl = examples + shape + "/ctl.json";
+    EXPECT_NO_THROW(ParseCtlSettings(ReadFile(ctl), ctl));
+  }
+}
+
 }  // namespace
 }  // namespace comfreylock
