--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -44,6 +44,10 @@
 inline constexpr std::chrono::seconds kShedDecay = 1s;
 /// One in so many refused calls is let through to keep the level fresh.
 inline constexpr uint32_t kShedProbeInterval = 50;
+/// Longest time between such calls while calls are refused.
+inline constexpr std::chrono::milliseconds kShedProbeTime = 500ms;
+/// Services further down whose levels a report carries.
+inline constexpr size_t kReportedServices = 8;
 
 // Routing.
 /// Targets of one service that a node sends to.
@@ -61,6 +65,22 @@
 inline constexpr std::chrono::seconds kShortestEjection = 1s;
 inline constexpr std::chrono::seconds kLongestEjection = 30s;
 
+// Retries.
+/// Upper end of the first retry's back-off, which is drawn from 0.
+inline constexpr std::chrono::milliseconds kShortestBackoff = 25ms;
+inline constexpr std::chrono::milliseconds kLongestBackoff = 1000ms;
+/// Range over which hints to refused callers are spread.
+inline constexpr std::chrono::milliseconds kShortestRetryAfter = 1000ms;
+inline constexpr std::chrono::milliseconds kLongestRetryAfter = 5000ms;
+
+// Quarantine.
+/// Time for which a request that crashes targets is refused.
+inline constexpr std::chrono::minutes kQuarantineTime = 10min;
+/// Fingerprints that a node remembers, about 200 bytes each.
+inline constexpr size_t kMaxQuarantineEntries = 4096;
+/// Crashes remembered for one fingerprint.
+inline constexpr size_t kCrashesPerFingerprint = 16;
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_CONFIG_H_
--- a/include/comfreylock/shedding.h
+++ b/include/comfreylock/shedding.h
@@ -94,13 +94,13 @@
   /// Decides about a call at its entry.
   /// @param level level of the service: the smallest over the targets that the
   ///     router may choose, or the reported one of a service further down.
-  /// @return whether to refuse; one in `kShedProbeInterval` is let through.
-  bool Refuse(std::string_view service, uint32_t level, uint32_t priority);
-
-  /// Adds the present levels of `services` to a report.
-  void AddTo(wire::AnswerReport& report,
-             std::span<const std::string> services,
-             TimePoint now) const;
+  /// @return whether to refuse. One call in `kShedProbeInterval` is let
+  ///     through, and one each `kShedProbeTime`, so that services with few
+  ///     calls also learn when the level has fallen.
+  bool Refuse(std::string_view service,
+              uint32_t level,
+              uint32_t priority,
+              TimePoint now);
 
  private:
   struct Learnt {
@@ -108,12 +108,17 @@
     TimePoint time;
   };
 
+  struct Probe {
+    uint32_t refused = 0;
+    TimePoint last;
+  };
+
   static uint32_t Decayed(const Learnt& learnt, TimePoint now);
   void LearnReported(const std::string& service, uint32_t level, TimePoint now);
 
   std::unordered_map<NodeId, Learnt> targets_;
   std::map<std::string, Learnt, std::less<>> reported_;
-  std::map<std::string, uint32_t, std::less<>> refused_;
+  std::map<std::string, Probe, std::less<>> probes_;
 };
 
 }  // namespace comfreylock
--- a/src/shedding.cc
+++ b/src/shedding.cc
@@ -127,24 +127,18 @@
 
 bool ShedTable::Refuse(std::string_view service,
                        uint32_t level,
-                       uint32_t priority) {
+                       uint32_t priority,
+                       TimePoint now) {
   if (!LevelRefuses(level, priority))
     return false;
-  auto found = refused_.find(service);
-  if (found == refused_.end())
-    found = refused_.emplace(std::string(service), 0).first;
-  return ++found->second % kShedProbeInterval != 0;
-}
-
-void ShedTable::AddTo(wire::AnswerReport& report,
-                      std::span<const std::string> services,
-                      TimePoint now) const {
-  for (const auto& service : services) {
-    uint32_t level = ReportedLevelOf(service, now);
-    auto* shed = report.add_shed();
-    shed->set_service(service);
-    shed->set_level(level);
-  }
+  auto found = probes_.find(service);
+  if (found == probes_.end())
+    found = probes_.emplace(std::string(service), Probe{0, now}).first;
+  Probe& probe = found->second;
+  if (++probe.refused < kShedProbeInterval && now - probe.last < kShedProbeTime)
+    return true;
+  probe = {0, now};
+  return false;
 }
 
 }  // namespace comfreylock
