Add decision_bench and let the router forget abandoned attempts

Cause: the cost of a decision at the size of two years was not measured, and an attempt that its caller gave up counted against the target.

Change: decision_bench times a choice with 10, 1,000 and 20,000 known targets, a change of the member list, and an offer and an end with 8 and 1,000 organisations. Router::OnAbandoned takes back the outstanding count only.

--- a/include/comfreylock/routing.h
+++ b/include/comfreylock/routing.h
@@ -57,6 +57,10 @@
   /// Counts an attempt that was sent to `node`.
   void OnDispatched(const NodeId& node, TimePoint now);
 
+  /// Forgets an attempt that the caller or the deadline of its call ended, and
+  /// that says nothing about the target.
+  void OnAbandoned(const NodeId& node);
+
   /// Learns from an attempt that ended.
   /// @param report the node's figures, or null if it sent none.
   void OnEnded(const NodeId& node,
--- /dev/null
+++ b/programs/decision_bench.cc
@@ -0,0 +1,99 @@
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "comfreylock/admission.h"
+#include "comfreylock/config.h"
+#include "comfreylock/routing.h"
+
+/// Times single decisions at several sizes of the fleet.
+namespace comfreylock {
+namespace {
+
+constexpr TimePoint kStart(100s);
+
+/// One choice of a target with its report. Argument: known targets, all of one
+/// service in four zones.
+void RouteOne(benchmark::State& state) {
+  Router router({"node", "zone-0", 1});
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    router.SetTarget({"target-" + std::to_string(i), "proofs",
+                      "zone-" + std::to_string(i % 4), "127.0.0.1:1"},
+                     kStart);
+  }
+  wire::AnswerReport report;
+  report.set_in_flight(10);
+  report.set_limit(50);
+  TimePoint now = kStart + 10s;
+  for (auto _ : state) {
+    now += 10us;
+    const TargetInfo* target = router.Choose("proofs", {}, now);
+    router.OnDispatched(target->node, now);
+    router.OnEnded(target->node, AttemptKind::kAnswered, &report, 5ms, now);
+  }
+}
+BENCHMARK(RouteOne)->Arg(10)->Arg(1000)->Arg(20000);
+
+/// A target that leaves and comes back. Argument: known targets.
+void ChangeTarget(benchmark::State& state) {
+  Router router({"node", "zone-0", 1});
+  TargetInfo target;
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    target = {"target-" + std::to_string(i), "proofs",
+              "zone-" + std::to_string(i % 4), "127.0.0.1:1"};
+    router.SetTarget(target, kStart);
+  }
+  for (auto _ : state) {
+    router.RemoveTarget(target.node);
+    router.SetTarget(target, kStart);
+  }
+}
+BENCHMARK(ChangeTarget)->Arg(10)->Arg(1000)->Arg(20000);
+
+/// One offer and one end under a full queue. Argument: organisations.
+void AdmitOne(benchmark::State& state) {
+  ServiceRule rule;
+  rule.slots = 50;
+  rule.queue = 2000;
+  rule.queue_delay = 60s;
+  rule.ramp = 0ms;
+  auto admission = MakeAdmission(Policy::kStandard, rule, kStart);
+  std::vector<std::string> names;
+  for (int64_t i = 0; i < state.range(0); ++i)
+    names.push_back("organisation-" + std::to_string(i));
+  TimePoint now = kStart;
+  std::deque<WorkId> running;
+  uint64_t last = 0;
+  auto take = [&](const AdmissionChanges& changes) {
+    for (const auto& change : changes) {
+      if (change.kind == AdmissionChange::Kind::kStart)
+        running.push_back(change.work);
+    }
+  };
+  auto offer = [&] {
+    WorkItem item;
+    item.work = WorkId{++last};
+    item.organisation = names[last % names.size()];
+    item.route = "route";
+    item.importance = 2;
+    item.deadline = now + 60s;
+    take(admission->Offer(item, now));
+  };
+  for (int i = 0; i < 3000; ++i)
+    offer();
+  for (auto _ : state) {
+    now += 10us;
+    offer();
+    WorkId work = running.front();
+    running.pop_front();
+    take(admission->Finish(work, WorkResult::kCompleted, now, 0us));
+  }
+}
+BENCHMARK(AdmitOne)->Arg(8)->Arg(1000);
+
+}  // namespace
+}  // namespace comfreylock
+
+BENCHMARK_MAIN();
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -253,6 +253,12 @@
     ++found->second.outstanding;
 }
 
+void Router::OnAbandoned(const NodeId& node) {
+  auto found = targets_.find(node);
+  if (found != targets_.end() && found->second.outstanding > 0)
+    --found->second.outstanding;
+}
+
 void Router::OnEnded(const NodeId& node,
                      AttemptKind kind,
                      const wire::AnswerReport* report,
