Apply shedding, retry, quarantine and goodput in the reducer

Cause: the reducer reported no shed level, refused nothing early, retried at once and did not know which requests crash targets.

Change: a call gets a fingerprint and is refused at its entry if it is quarantined, or if its service or one that the bundle says it calls sheds its priority. Reports carry the levels of the service and of those further down, downstream overload and crash suspicion. A 503 that passes on an overload further down does not lower the target's limit. Cancelled or broken work cancels its onward calls. A broken attempt without a report at a service that calls others uses up the budget, since nobody knows what was spent below. The settings field "policy" chooses "standard" or "naive" by strategy objects.

--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -14,9 +14,13 @@
 #include "comfreylock/bundle.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
+#include "comfreylock/goodput.h"
 #include "comfreylock/partition.h"
 #include "comfreylock/policy.h"
+#include "comfreylock/quarantine.h"
+#include "comfreylock/retry.h"
 #include "comfreylock/routing.h"
+#include "comfreylock/shedding.h"
 #include "comfreylock/types.h"
 
 /// The reducer: all decisions of one node, as a function from events to
@@ -43,6 +47,7 @@
   uint32_t in_flight = 0;
   uint32_t queued = 0;
   uint32_t limit = 0;
+  uint32_t shed_level = 0;
   size_t members = 0;
   size_t calls = 0;
   bool draining = false;
@@ -65,6 +70,9 @@
 
   NodeStatus status() const;
 
+  /// @return whole answers and refusals of each organisation at this entry.
+  const Goodput& goodput() const { return goodput_; }
+
   /// @return the report that goes with the answer to `work`.
   wire::AnswerReport ReportFor(WorkId work) const;
 
@@ -79,7 +87,7 @@
     std::string key_id;
     uint32_t importance = 0;
     uint32_t depth = 0;
-    uint32_t retries_left = 0;
+    ChainBudget budget;
     bool once_only = false;
     TimePoint deadline;
     WorkId parent;  ///< Set for onward calls.
@@ -87,6 +95,12 @@
     NodeId node;
     std::vector<NodeId> tried;
     bool may_have_run = false;
+    bool abandoned = false;  ///< The caller or the parent work is gone.
+    bool refused = false;
+    int status = 0;  ///< Of the answer that is passed on.
+    std::string fingerprint;
+    bool suspect = false;  ///< An attempt crashed a target.
+    uint32_t crashes = 0;
   };
 
   /// A request at this host's target.
@@ -94,8 +108,10 @@
     wire::CallContext context;
     TimePoint deadline;
     bool started = false;
-    uint32_t retries_left = 0;
-    uint32_t onward_calls = 0;                ///< In progress.
+    ChainBudget budget;
+    std::set<CallId> onward_calls;  ///< In progress.
+    bool downstream_overload = false;
+    bool crash_recorded = false;
     TimePoint onward_since;                   ///< When the first of them began.
     std::chrono::microseconds downstream{0};  ///< Spent on ended onward calls.
   };
@@ -120,13 +136,27 @@
   Reason ClassifyOnward(Call& call);
   Reason Authenticate(Call& call, const RouteRule& route);
   void DispatchCall(Call& call, std::chrono::milliseconds delay);
+  /// @return why the call is refused before any work is spent on it.
+  Reason EarlyRefusal(Call& call);
+  bool IsShed(const Call& call);
+  /// @return the level of `service` as its targets or others reported it.
+  uint32_t ShedLevelOf(std::string_view service) const;
+  double WeightOf(const std::string& organisation) const;
+  void LearnFrom(Call& call, const AttemptEnded& event);
+  void LearnCrash(Call& call);
   bool MayRetry(const Call& call, const AttemptEnded& event) const;
+  void Retry(Call& call);
+  void Abandon(Call& call);
+  void CountEnd(const Call& call, bool whole);
   void FailCall(Call& call, const AttemptEnded& event);
-  void Refuse(const Call& call, Reason reason, Outcome outcome);
+  void Refuse(Call& call, Reason reason, Outcome outcome);
 
   // Requests at the target.
   void Apply(const AdmissionChanges& changes);
   void Reject(WorkId work, Reason reason);
+  void RecordCrash();
+  void CancelOnwardCalls(const Work& work);
+  void AddShedLevels(wire::AnswerReport& report) const;
   std::chrono::microseconds DownstreamTime(const Work& work) const;
   wire::AnswerReport Report(const Work& work) const;
 
@@ -152,6 +182,11 @@
   std::shared_ptr<const Bundle> bundle_;
   std::unique_ptr<Admission> admission_;
   Router router_;
+  std::unique_ptr<RetryPolicy> retry_;
+  ShedTable shed_;
+  std::map<std::string, ShareMeter, std::less<>> demand_;  ///< By service.
+  Quarantine quarantine_;
+  Goodput goodput_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<std::string, WorkId> work_by_request_;
--- a/src/http_peer.cc
+++ b/src/http_peer.cc
@@ -194,7 +194,7 @@
   bool keep = false;
   error_code failed;
   try {
-    keep = co_await WriteFailure(work, result);
+    keep = co_await WriteFailure(work, result, gone);
   } catch (const system_error& error) {
     failed = error.code();
   }
@@ -271,7 +271,8 @@
 }
 
 asio::awaitable<bool> HttpPeer::WriteFailure(WorkPointer work,
-                                             WorkResult result) {
+                                             WorkResult result,
+                                             bool target_gone) {
   bool not_run = result == WorkResult::kNotConnected;
   Refusal refusal{ReasonOf(result),
                   not_run ? Outcome::kNotRun : Outcome::kUnknown};
@@ -280,6 +281,7 @@
       ProblemAnswer(refusal, work->context.request_id(), whole);
   wire::AnswerReport report = host_.ReportFor(work->id);
   report.set_started(!not_run);
+  report.set_crash_suspected(target_gone);
   report.set_refusal_reason(std::string(InfoOf(refusal.reason).name));
   SetReport(answer.head, report);
   co_await WriteSimple(work->connection->stream, std::move(answer),
--- a/src/http_peer.h
+++ b/src/http_peer.h
@@ -40,7 +40,9 @@
   asio::awaitable<bool> RunOnTarget(WorkPointer work);
   asio::awaitable<void> Exchange(WorkPointer work, WorkResult& result);
   asio::awaitable<bool> PassOn(WorkPointer work);
-  asio::awaitable<bool> WriteFailure(WorkPointer work, WorkResult result);
+  asio::awaitable<bool> WriteFailure(WorkPointer work,
+                                     WorkResult result,
+                                     bool target_gone);
   asio::awaitable<bool> TargetRefusesConnections();
   asio::awaitable<void> WatchEntry(WorkPointer work);
   RequestHead TargetRequest(const PendingWork& work) const;
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -11,6 +11,8 @@
       now_(now),
       router_(
           {identity_.node, identity_.zone, identity_.seed, identity_.policy}),
+      retry_(MakeRetryPolicy(identity_.policy)),
+      quarantine_(identity_.node, identity_.incarnation),
       next_store_try_(now) {}
 
 Node::~Node() = default;
@@ -30,6 +32,7 @@
     status.in_flight = admission_->in_flight();
     status.queued = admission_->queued();
     status.limit = admission_->limit();
+    status.shed_level = admission_->shed_level();
   }
   status.members = members_.size();
   status.calls = calls_.size();
@@ -47,6 +50,7 @@
     if (now_ > call.deadline + 1s)
       effects_.push_back(CancelAttempt{id, call.attempt});
   }
+  quarantine_.Expire(now_);
   FinishDrain();
 }
 
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -5,17 +5,47 @@
 
 /// Decisions about calls at their entry node.
 namespace comfreylock {
+namespace {
+
+constexpr int kServerError = 500;
+constexpr int kServiceUnavailable = 503;
+/// Crashed targets after which a request is not retried.
+constexpr uint32_t kMostCrashes = 2;
+
+/// What distinguishes the policies at the entry.
+struct EntryRules {
+  bool fingerprints = true;  ///< Requests that crash targets are quarantined.
+};
+
+const EntryRules& RulesOf(Policy policy) {
+  static constexpr EntryRules kStandardRules;
+  static constexpr EntryRules kNaiveRules{.fingerprints = false};
+  return policy == Policy::kNaive ? kNaiveRules : kStandardRules;
+}
+
+}  // namespace
 
 void Node::On(const CallArrived& event) {
   Call call;
   call.id = event.call;
   call.request = event.request;
   Reason reason = event.request.onward ? ClassifyOnward(call) : Classify(call);
+  if (reason == Reason::kNone)
+    reason = EarlyRefusal(call);
   if (reason != Reason::kNone) {
     Refuse(call, reason, Outcome::kNotRun);
     return;
   }
   Call& stored = calls_[event.call] = std::move(call);
+  retry_->CountFirst(stored.service);
+  auto parent = works_.find(stored.parent);
+  if (parent != works_.end()) {
+    Work& work = parent->second;
+    stored.budget = retry_->Onward(work.budget);
+    if (work.onward_calls.empty())
+      work.onward_since = now_;
+    work.onward_calls.insert(stored.id);
+  }
   DispatchCall(stored, 0ms);
 }
 
@@ -39,7 +69,7 @@
   call.service = route->service;
   call.importance = route->importance;
   call.once_only = route->once_only;
-  call.retries_left = route->retries;
+  call.budget = retry_->AtEntry(route->retries);
   auto remaining = std::min(call.request.deadline.value_or(route->deadline),
                             route->deadline_cap);
   call.deadline = now_ + remaining;
@@ -87,15 +117,49 @@
   call.depth = context.depth() + 1;
   call.once_only = route->once_only;
   call.deadline = work.deadline;
-  // Half of what is left, rounded up, is lent to this call; what it does not
-  // spend comes back when it ends. Calls side by side thus share one budget.
-  call.retries_left = (work.retries_left + 1) / 2;
-  work.retries_left -= call.retries_left;
-  if (work.onward_calls++ == 0)
-    work.onward_since = now_;
   return Reason::kNone;
 }
 
+Reason Node::EarlyRefusal(Call& call) {
+  auto [demand, added] = demand_.try_emplace(call.service, now_);
+  demand->second.Add(call.organisation, WeightOf(call.organisation), now_);
+  if (RulesOf(identity_.policy).fingerprints)
+    call.fingerprint = FingerprintOf(call.organisation, call.request);
+  if (quarantine_.IsQuarantined(call.fingerprint, now_))
+    return Reason::kQuarantined;
+  call.suspect = quarantine_.IsSuspect(call.fingerprint, now_);
+  return IsShed(call) ? Reason::kOverload : Reason::kNone;
+}
+
+bool Node::IsShed(const Call& call) {
+  uint32_t step =
+      demand_.find(call.service)->second.StepOf(call.organisation, now_);
+  uint32_t priority = ShedPriority(call.importance, step);
+  uint32_t level = ShedLevelOf(call.service);
+  auto rule = bundle_->services.find(call.service);
+  for (const auto& needed : rule->second.calls)
+    level = std::max(level, shed_.ReportedLevelOf(needed, now_));
+  return shed_.Refuse(call.service, level, priority, now_);
+}
+
+uint32_t Node::ShedLevelOf(std::string_view service) const {
+  auto targets = router_.UsedTargets(service);
+  std::optional<uint32_t> smallest;
+  for (const auto& node : targets) {
+    if (router_.IsEjected(node, now_))
+      continue;
+    uint32_t level = shed_.LevelOfTarget(node, now_);
+    smallest = std::min(smallest.value_or(level), level);
+  }
+  // A node that does not call the service itself knows it from others.
+  return std::max(smallest.value_or(0), shed_.ReportedLevelOf(service, now_));
+}
+
+double Node::WeightOf(const std::string& organisation) const {
+  auto rule = bundle_->organisations.find(organisation);
+  return rule == bundle_->organisations.end() ? 1 : rule->second.weight;
+}
+
 void Node::DispatchCall(Call& call, std::chrono::milliseconds delay) {
   if (now_ + delay >= call.deadline) {
     Refuse(call, Reason::kDeadline,
@@ -121,7 +185,9 @@
   context.set_organisation(call.organisation);
   context.set_importance(call.importance);
   context.set_depth(call.depth);
-  context.set_retries_left(call.retries_left);
+  context.set_retries_left(call.budget.left());
+  context.set_fingerprint(call.fingerprint);
+  context.set_suspect(call.suspect);
   context.set_route(call.route);
   context.set_service(call.service);
   context.set_bundle_version(bundle_->version);
@@ -135,34 +201,78 @@
   if (found == calls_.end() || found->second.attempt != event.attempt)
     return;
   Call& call = found->second;
-  router_.OnEnded(call.node, event.kind, &event.report, event.latency, now_);
-  uint32_t spent = std::min(event.report.retries_spent(), call.retries_left);
-  call.retries_left -= spent;
-  if (event.kind == AttemptKind::kAnswered) {
+  LearnFrom(call, event);
+  bool answered = event.kind == AttemptKind::kAnswered;
+  call.status = answered ? event.status : 0;
+  bool overloaded = answered && event.status == kServiceUnavailable;
+  if (answered && !(overloaded && retry_->RetriesOverload())) {
     effects_.push_back(DeliverAnswer{call.id, call.attempt});
     return;
   }
   bool ran = event.kind != AttemptKind::kNotSent &&
              (event.kind != AttemptKind::kRefused || event.report.started());
   call.may_have_run = call.may_have_run || ran;
-  if (MayRetry(call, event)) {
-    --call.retries_left;
-    effects_.push_back(Log{LogCode::kCallRetried,
-                           {{"request_id", call.request.request_id},
-                            {"organisation", call.organisation},
-                            {"node", call.node}}});
-    DispatchCall(call, 0ms);
+  if (MayRetry(call, event) && retry_->Pay(call.service, call.budget))
+    Retry(call);
+  else if (answered)
+    effects_.push_back(DeliverAnswer{call.id, call.attempt});
+  else
+    FailCall(call, event);
+}
+
+void Node::LearnFrom(Call& call, const AttemptEnded& event) {
+  if (call.abandoned) {
+    router_.OnAbandoned(call.node);
     return;
   }
-  FailCall(call, event);
+  bool reported = event.kind == AttemptKind::kAnswered ||
+                  event.kind == AttemptKind::kRefused;
+  router_.OnEnded(call.node, event.kind, reported ? &event.report : nullptr,
+                  event.latency, now_);
+  if (!reported) {
+    // Without a report nobody knows what was spent below. A service that calls
+    // others may have spent the whole budget, which must hold in any case.
+    auto rule = bundle_->services.find(call.service);
+    bool may_have_spent = event.kind != AttemptKind::kNotSent &&
+                          rule != bundle_->services.end() &&
+                          !rule->second.calls.empty();
+    if (may_have_spent)
+      call.budget = ChainBudget();
+    return;
+  }
+  shed_.Learn(call.node, call.service, event.report, now_);
+  call.budget.Deduct(event.report.retries_spent());
+  if (event.report.crash_suspected())
+    LearnCrash(call);
+  auto parent = works_.find(call.parent);
+  bool overload =
+      event.report.downstream_overload() || event.status == kServiceUnavailable;
+  if (parent != works_.end() && overload)
+    parent->second.downstream_overload = true;
+}
+
+void Node::LearnCrash(Call& call) {
+  ++call.crashes;
+  quarantine_.RecordReported(call.fingerprint, call.suspect, now_);
+  call.suspect = true;
+}
+
+void Node::Retry(Call& call) {
+  effects_.push_back(Log{LogCode::kCallRetried,
+                         {{"request_id", call.request.request_id},
+                          {"organisation", call.organisation},
+                          {"node", call.node}}});
+  DispatchCall(call, retry_->Backoff(call.attempt, random_));
 }
 
 bool Node::MayRetry(const Call& call, const AttemptEnded& event) const {
-  if (call.retries_left == 0 || event.body_left)
+  if (call.abandoned || event.body_left || call.crashes >= kMostCrashes)
+    return false;
+  if (quarantine_.IsQuarantined(call.fingerprint, now_))
     return false;
   if (call.once_only && call.may_have_run)
     return false;
-  if (event.report.downstream_overload())
+  if (event.report.downstream_overload() && !retry_->RetriesOverload())
     return false;
   return event.kind != AttemptKind::kTimedOut;
 }
@@ -181,13 +291,18 @@
          call.may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
 }
 
-void Node::Refuse(const Call& call, Reason reason, Outcome outcome) {
-  std::chrono::milliseconds retry_after{0};
-  if (InfoOf(reason).retry_after) {
-    // Spread over some seconds so that refused callers do not return at once.
-    std::uniform_int_distribution<int> spread(1000, 5000);
-    retry_after = std::chrono::milliseconds(spread(random_));
+void Node::Refuse(Call& call, Reason reason, Outcome outcome) {
+  call.refused = true;
+  auto parent = works_.find(call.parent);
+  if (reason == Reason::kOverload && parent != works_.end())
+    parent->second.downstream_overload = true;
+  if (!call.request.onward) {
+    double weight = bundle_ ? WeightOf(call.organisation) : 1;
+    goodput_.CountRefused(call.organisation, weight, reason);
   }
+  std::chrono::milliseconds retry_after{0};
+  if (InfoOf(reason).retry_after)
+    retry_after = SpreadRetryAfter(random_);
   effects_.push_back(
       RefuseCall{call.id, Refusal{reason, outcome, "", retry_after}});
   effects_.push_back(Log{LogCode::kCallRefused,
@@ -200,7 +315,25 @@
   auto found = calls_.find(event.call);
   if (found == calls_.end())
     return;
-  effects_.push_back(CancelAttempt{event.call, found->second.attempt});
+  Abandon(found->second);
+}
+
+void Node::Abandon(Call& call) {
+  if (call.abandoned)
+    return;
+  call.abandoned = true;
+  effects_.push_back(CancelAttempt{call.id, call.attempt});
+}
+
+void Node::CountEnd(const Call& call, bool whole) {
+  if (call.refused || call.request.onward)
+    return;
+  double weight = WeightOf(call.organisation);
+  if (whole && call.status < kServerError)
+    goodput_.CountWhole(call.organisation, weight);
+  else
+    goodput_.CountRefused(call.organisation, weight,
+                          whole ? Reason::kTargetFailed : Reason::kCallerGone);
 }
 
 void Node::On(const CallFinished& event) {
@@ -208,11 +341,13 @@
   if (found == calls_.end())
     return;
   const Call& call = found->second;
+  CountEnd(call, event.whole);
   auto parent = works_.find(call.parent);
   if (parent != works_.end()) {
     Work& work = parent->second;
-    work.retries_left += call.retries_left;
-    if (--work.onward_calls == 0)
+    retry_->Return(work.budget, call.budget);
+    work.onward_calls.erase(call.id);
+    if (work.onward_calls.empty())
       work.downstream += now_ - work.onward_since;
   }
   calls_.erase(found);
--- a/src/reducer_work.cc
+++ b/src/reducer_work.cc
@@ -1,4 +1,8 @@
+#include <algorithm>
+
+#include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
+#include "crypto.h"
 
 /// Decisions about requests at this host's target.
 namespace comfreylock {
@@ -6,7 +10,7 @@
 void Node::On(const WorkArrived& event) {
   Work work;
   work.context = event.context;
-  work.retries_left = event.context.retries_left();
+  work.budget = ChainBudget(event.context.retries_left());
   work.deadline =
       now_ + std::chrono::milliseconds(event.context.remaining_ms());
   works_[event.work] = work;
@@ -23,15 +27,19 @@
     Reject(event.work, Reason::kOverload);
     return;
   }
+  const std::string& fingerprint = event.context.fingerprint();
+  if (quarantine_.IsQuarantined(fingerprint, now_)) {
+    Reject(event.work, Reason::kQuarantined);
+    return;
+  }
   WorkItem item;
   item.work = event.work;
   item.organisation = event.context.organisation();
   item.route = event.context.route();
   item.importance = event.context.importance();
-  item.run_alone = event.context.suspect();
-  auto rule = bundle_->organisations.find(item.organisation);
-  if (rule != bundle_->organisations.end())
-    item.weight = rule->second.weight;
+  item.run_alone =
+      event.context.suspect() || quarantine_.IsSuspect(fingerprint, now_);
+  item.weight = WeightOf(item.organisation);
   item.deadline = work.deadline;
   Apply(admission_->Offer(item, now_));
 }
@@ -71,15 +79,44 @@
   wire::AnswerReport report;
   report.set_request_id(work.context.request_id());
   report.set_started(work.started);
-  report.set_retries_spent(work.context.retries_left() - work.retries_left);
+  report.set_retries_spent(
+      work.context.retries_left() -
+      std::min(work.context.retries_left(), work.budget.left()));
+  report.set_downstream_overload(work.downstream_overload);
   if (admission_) {
     report.set_in_flight(admission_->in_flight());
     report.set_queued(admission_->queued());
     report.set_limit(admission_->limit());
+    AddShedLevels(report);
   }
   return report;
 }
 
+void Node::AddShedLevels(wire::AnswerReport& report) const {
+  auto add = [&report](const std::string& service, uint32_t level) {
+    auto* shed = report.add_shed();
+    shed->set_service(service);
+    shed->set_level(level);
+  };
+  add(identity_.service, admission_->shed_level());
+  // Breadth first through the services that this one calls. Levels of 0 are
+  // reported too, so that a level falls as fast as it rose.
+  std::vector<std::string> services = {identity_.service};
+  for (size_t i = 0; i < services.size(); ++i) {
+    auto rule = bundle_->services.find(services[i]);
+    if (rule == bundle_->services.end())
+      continue;
+    for (const auto& called : rule->second.calls) {
+      if (services.size() > kReportedServices ||
+          std::ranges::find(services, called) != services.end()) {
+        continue;
+      }
+      services.push_back(called);
+      add(called, ShedLevelOf(called));
+    }
+  }
+}
+
 wire::AnswerReport Node::ReportFor(WorkId id) const {
   auto found = works_.find(id);
   return found == works_.end() ? wire::AnswerReport() : Report(found->second);
@@ -89,22 +126,58 @@
   auto found = works_.find(event.work);
   if (found == works_.end())
     return;
-  if (event.target_gone) {
-    effects_.push_back(
-        Log{LogCode::kTargetCrashed,
-            {{"request_id", found->second.context.request_id()},
-             {"organisation", found->second.context.organisation()}}});
-  }
-  auto downstream = DownstreamTime(found->second);
-  work_by_request_.erase(found->second.context.request_id());
+  Work& work = found->second;
+  if (event.target_gone && !work.crash_recorded)
+    RecordCrash();
+  WorkResult result = event.result;
+  if (result == WorkResult::kCompleted)
+    quarantine_.RecordCompletion(work.context.fingerprint(), now_);
+  // A 503 that passes on an overload further down says nothing about the load
+  // of this target.
+  if (result == WorkResult::kTargetShed && work.downstream_overload)
+    result = WorkResult::kCompleted;
+  auto downstream = DownstreamTime(work);
+  // A target that answered may leave calls running on purpose.
+  bool answered =
+      result == WorkResult::kCompleted || result == WorkResult::kTargetShed;
+  if (!answered)
+    CancelOnwardCalls(work);
+  work_by_request_.erase(work.context.request_id());
   works_.erase(found);
-  Apply(admission_->Finish(event.work, event.result, now_, downstream));
+  Apply(admission_->Finish(event.work, result, now_, downstream));
   FinishDrain();
 }
 
+void Node::RecordCrash() {
+  std::vector<Quarantine::InFlight> in_flight;
+  for (auto& [id, work] : works_) {
+    if (!work.started || work.crash_recorded)
+      continue;
+    work.crash_recorded = true;
+    effects_.push_back(Log{LogCode::kTargetCrashed,
+                           {{"request_id", work.context.request_id()},
+                            {"organisation", work.context.organisation()}}});
+    if (!work.context.fingerprint().empty()) {
+      in_flight.push_back({work.context.fingerprint(), work.context.suspect()});
+    }
+  }
+  for (const auto& fingerprint : quarantine_.RecordCrash(in_flight, now_)) {
+    effects_.push_back(Log{LogCode::kRequestQuarantined,
+                           {{"fingerprint", ToHex(fingerprint)}}});
+  }
+}
+
+void Node::CancelOnwardCalls(const Work& work) {
+  for (CallId id : work.onward_calls) {
+    auto call = calls_.find(id);
+    if (call != calls_.end())
+      Abandon(call->second);
+  }
+}
+
 std::chrono::microseconds Node::DownstreamTime(const Work& work) const {
   auto time = work.downstream;
-  if (work.onward_calls > 0)
+  if (!work.onward_calls.empty())
     time += now_ - work.onward_since;
   return time;
 }
@@ -114,6 +187,7 @@
   if (found == works_.end())
     return;
   if (found->second.started) {
+    CancelOnwardCalls(found->second);
     effects_.push_back(AbortWork{event.work});
     return;
   }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -31,6 +31,16 @@
   }
 }
 
+Policy ReadPolicy(ObjectReader& reader) {
+  std::string name = "standard";
+  reader.Read("policy", name);
+  if (name == "naive")
+    return Policy::kNaive;
+  if (name != "standard")
+    reader.Fail("policy", "is \"" + name + "\"", "\"standard\" or \"naive\"");
+  return Policy::kStandard;
+}
+
 }  // namespace
 
 NodeSettings ParseNodeSettings(std::string_view text, std::string_view origin) {
@@ -50,6 +60,7 @@
   reader.Read("fleet_secret_hex", settings.fleet_secret_hex, true);
   reader.Read("seeds", settings.seeds);
   reader.Read("log_file", settings.log_file);
+  settings.policy = ReadPolicy(reader);
   reader.Read("header_timeout", settings.header_timeout, 10ms, 10min);
   reader.Read("idle_timeout", settings.idle_timeout, 10ms, 1h);
   reader.Finish();
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "comfreylock/policy.h"
+
 /// Settings of one node, read from a JSON file with comments.
 namespace comfreylock {
 
@@ -24,6 +26,7 @@
   std::string fleet_secret_hex;    ///< Authenticates nodes to each other.
   std::vector<std::string> seeds;  ///< Control addresses of first peers.
   std::string log_file;            ///< Empty: standard error.
+  Policy policy = Policy::kStandard;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds idle_timeout{60'000};
 };
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -29,6 +29,7 @@
   identity.peer_address = settings.peer_address;
   identity.control_address = settings.control_address;
   identity.seeds = settings.seeds;
+  identity.policy = settings.policy;
   identity.incarnation =
       static_cast<uint64_t>(ReadWallClock().time_since_epoch().count());
   identity.seed =
