Test the load decisions through the reducer

Cause: the wiring of quarantine, early refusal and abandoned calls was only exercised by the demo.

Change: reducer_load_test drives one entry node through its events; settings_test covers the field "policy".

--- /dev/null
+++ b/tests/core/reducer_load_test.cc
@@ -0,0 +1,131 @@
+#include <gtest/gtest.h>
+
+#include "comfreylock/config.h"
+#include "comfreylock/reducer.h"
+
+namespace comfreylock {
+namespace {
+
+constexpr char kBundle[] = R"({
+  "version": 1, "key_salt": "00ff",
+  "services": {"proofs": {}},
+  "routes": [{"name": "all", "path": "/", "service": "proofs",
+              "open": true, "retries": 3}]
+})";
+
+/// An entry without a target, and three nodes beside targets of `proofs`.
+class ReducerLoadTest : public testing::Test {
+ protected:
+  ReducerLoadTest() : node_(Identity(), now_) {
+    for (const auto& effect : Feed(Tick{})) {
+      const auto* ask = std::get_if<CallStore>(&effect);
+      const auto* range =
+          ask ? std::get_if<StoreRange>(&ask->request) : nullptr;
+      if (range)
+        Feed(StoreAnswered{ask->call, Answer(*range)});
+    }
+  }
+
+  static NodeIdentity Identity() {
+    NodeIdentity identity;
+    identity.node = "entry";
+    identity.zone = "a";
+    return identity;
+  }
+
+  static StoreRangeResult Answer(const StoreRange& range) {
+    StoreRangeResult result;
+    StoreEntry entry;
+    entry.key = range.key;
+    entry.value = kBundle;
+    if (range.key.find("members") == std::string::npos) {
+      result.entries.push_back(entry);
+      return result;
+    }
+    for (std::string name : {"n1", "n2", "n3"}) {
+      wire::Member member;
+      member.set_node(name);
+      member.set_service("proofs");
+      member.set_zone("a");
+      entry.key = range.key + "a/" + name;
+      entry.value = member.SerializeAsString();
+      result.entries.push_back(entry);
+    }
+    return result;
+  }
+
+  Effects Feed(EventBody body) {
+    now_ += 1ms;
+    return node_.Reduce(Event{now_, WallTime(), std::move(body)});
+  }
+
+  Effects Call(uint64_t id) {
+    RequestSummary request;
+    request.method = "GET";
+    request.target = "/proofs/7";
+    request.request_id = "r" + std::to_string(id);
+    return Feed(CallArrived{CallId{id}, request});
+  }
+
+  template <typename T>
+  static const T* Find(const Effects& effects) {
+    for (const auto& effect : effects) {
+      if (const T* found = std::get_if<T>(&effect))
+        return found;
+    }
+    return nullptr;
+  }
+
+  TimePoint now_{100s};
+  Node node_;
+};
+
+// Guards against retries for a caller that is gone.
+TEST_F(ReducerLoadTest, AbandonedCallIsNotRetried) {
+  ASSERT_NE(Find<Dispatch>(Call(1)), nullptr);
+  EXPECT_NE(Find<CancelAttempt>(Feed(CallerGone{CallId{1}})), nullptr);
+  Effects effects = Feed(AttemptEnded{CallId{1}, 1, AttemptKind::kBroken});
+  EXPECT_EQ(Find<Dispatch>(effects), nullptr);
+  EXPECT_NE(Find<RefuseCall>(effects), nullptr);
+}
+
+// Guards against a request that crashes a third target, by its retries or when
+// its caller sends it again.
+TEST_F(ReducerLoadTest, RequestThatCrashedTwoTargetsIsQuarantined) {
+  AttemptEnded crash{CallId{1}, 1, AttemptKind::kRefused};
+  crash.report.set_started(true);
+  crash.report.set_crash_suspected(true);
+  ASSERT_NE(Find<Dispatch>(Call(1)), nullptr);
+  Effects effects = Feed(crash);
+  const auto* retry = Find<Dispatch>(effects);
+  ASSERT_NE(retry, nullptr);
+  EXPECT_TRUE(retry->context.suspect());
+  crash.attempt = 2;
+  EXPECT_EQ(Find<Dispatch>(Feed(crash)), nullptr);
+  effects = Call(2);
+  const auto* refusal = Find<RefuseCall>(effects);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->refusal.reason, Reason::kQuarantined);
+  EXPECT_EQ(refusal->refusal.outcome, Outcome::kNotRun);
+}
+
+// Guards against an entry that spends work on calls that the only targets
+// would shed.
+TEST_F(ReducerLoadTest, ShedCallsAreRefusedAtTheEntry) {
+  for (uint64_t id = 1; id < 40; ++id) {
+    if (!Find<Dispatch>(Call(id)))
+      continue;
+    AttemptEnded ended{CallId{id}, 1, AttemptKind::kAnswered, 200};
+    auto* shed = ended.report.add_shed();
+    shed->set_service("proofs");
+    shed->set_level(20);
+    Feed(ended);
+  }
+  Effects effects = Call(40);
+  const auto* refusal = Find<RefuseCall>(effects);
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->refusal.reason, Reason::kOverload);
+}
+
+}  // namespace
+}  // namespace comfreylock
--- a/tests/io/settings_test.cc
+++ b/tests/io/settings_test.cc
@@ -36,6 +36,9 @@
   EXPECT_NE(ErrorWith("1002", "1001").find("onward_address: is the same"),
             std::string::npos);
   EXPECT_NE(ErrorWith("\"zone\"", "\"area\"").find("zone"), std::string::npos);
+  EXPECT_NE(ErrorWith("\"zone\"", "\"policy\": \"x\", \"zone\"")
+                .find("policy: is \"x\""),
+            std::string::npos);
   EXPECT_NE(ErrorWith("\"zone-a\"", "7").find("zone: has the wrong type"),
             std::string::npos);
 }
