--- a/src/ctl_http.cc
+++ b/src/ctl_http.cc
@@ -16,9 +16,8 @@
   IoDeadline deadline = std::chrono::steady_clock::now() + kAnswerTimeout;
   HttpConnection connection(executor, address);
   co_await connection.Connect(deadline);
-  bool sent = false;
-  co_await connection.Send(std::move(head), nullptr, deadline, sent);
-  ResponseHead answer = co_await connection.ReceiveHead(false);
+  ClientRequest request{std::move(head), nullptr, deadline};
+  ResponseHead answer = co_await connection.RoundTrip(std::move(request));
   CtlResponse response;
   response.status = answer.result_int();
   bool whole = false;
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -15,6 +15,8 @@
       next_part_ask_(now),
       router_(
           {identity_.node, identity_.zone, identity_.seed, identity_.policy}),
+      retry_(MakeRetryPolicy(identity_.policy)),
+      quarantine_(identity_.node, identity_.incarnation),
       next_store_try_(now) {}
 
 Node::~Node() = default;
@@ -55,6 +57,7 @@
     if (now_ > call.deadline + 1s)
       effects_.push_back(CancelAttempt{id, call.attempt});
   }
+  quarantine_.Expire(now_);
   FinishDrain();
 }
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -55,6 +55,16 @@
   }
 }
 
+Policy ReadPolicy(ObjectReader& reader) {
+  std::string name = "standard";
+  reader.Read("policy", name);
+  if (name == "naive")
+    return Policy::kNaive;
+  if (name != "standard")
+    reader.Fail("policy", "is \"" + name + "\"", "\"standard\" or \"naive\"");
+  return Policy::kStandard;
+}
+
 }  // namespace
 
 OperatorKeys ParseOperators(ObjectReader& reader,
@@ -104,6 +114,7 @@
   reader.Read("log_file", settings.log_file);
   reader.Read("operator_token", settings.operator_token, true);
   reader.Child("operators");
+  settings.policy = ReadPolicy(reader);
   reader.Read("header_timeout", settings.header_timeout, 10ms, 10min);
   reader.Read("idle_timeout", settings.idle_timeout, 10ms, 1h);
   reader.Finish();
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 
 #include "comfreylock/bundle_head.h"
 #include "json_reader.h"
+#include "comfreylock/policy.h"
 
 /// Settings of one node, read from a JSON file with comments.
 namespace comfreylock {
@@ -29,6 +30,7 @@
   std::string log_file;            ///< Empty: standard error.
   OperatorKeys operators;          ///< Who signs bundles; at least two.
   std::string operator_token;      ///< Bearer token of the operator listener.
+  Policy policy = Policy::kStandard;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds idle_timeout{60'000};
 };
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -31,6 +31,7 @@
   identity.control_address = settings.control_address;
   identity.seeds = settings.seeds;
   identity.operators = settings.operators;
+  identity.policy = settings.policy;
   identity.incarnation =
       static_cast<uint64_t>(ReadWallClock().time_since_epoch().count());
   identity.seed =
