Follow members by probes and rumours in place of store watches

Cause: every node watched the store's member list, a dead node stayed a target until its record went, and a node could not find others without the store.

Change: class Membership (pure) probes one member each second, indirectly through 3 after 300 ms, suspects for 3 s, and sends news on to 3 random members and with probes; newcomers ask one member or a seed for the whole table, in parts of at most 100 members. Only 3 watchers a zone watch the member list; everybody reads it once. The zone's registrar deletes records of nodes dead for 15 min, or that left, comparing the revision. Store age travels with rumours; a node that may be cut off refuses keyed routes (isolated). A leave is pushed at once, and the exit waits 250 ms after the last request so that the sockets send what is queued. A member that is no target any more leaves the router at once.

Conclusion: the fleet finds and leaves members without the store. Records of nodes proved to have ended are not yet removed before 15 min.

--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -15,6 +15,7 @@
 #include "comfreylock/bundle.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
+#include "comfreylock/membership.h"
 #include "comfreylock/partition.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/types.h"
@@ -65,6 +66,13 @@
   /// @return the owners of partitions that this node knows.
   const PartitionTable& partitions() const { return partitions_; }
 
+  /// @return all members that this node knows, also those that are gone.
+  const Membership& membership() const { return membership_; }
+
+  /// @return whether this node may have missed withdrawn keys because it is
+  /// cut off; it then serves no keyed routes.
+  bool IsolatedFromFleet() const { return membership_.Isolated(now_); }
+
   NodeStatus status() const;
 
   /// @return the report that goes with the answer to `work`.
@@ -130,16 +138,23 @@
 
   // Fleet.
   using StoreHandler = std::function<void(const StoreResult&)>;
-  void AskStore(StoreRequest request,
-                StoreHandler handler,
-                std::chrono::milliseconds timeout = std::chrono::seconds(1));
+  StoreCallId AskStore(
+      StoreRequest request,
+      StoreHandler handler,
+      std::chrono::milliseconds timeout = std::chrono::seconds(1));
   void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
   void ReadBundle();
   void OnBundleRead(StoreResult result);
   void OnBundleChanged(StoreResult result);
-  void OnMembersRead(StoreResult result);
-  void OnMembersChanged(StoreResult result);
-  void OnAnnounced(StoreResult result);
+  void Announce();
+  void AdvanceMembers();
+  void ReadMembers();
+  void OnMembersRead(const StoreResult& result);
+  void OnMembersChanged(const StoreResult& result);
+  void Apply(MembershipChanges changes);
+  void ApplyMember(const wire::Member& member);
+  void RemoveOldRecords();
+  void RemoveRecord(const wire::Member& member);
   void TakeBundle(const StoreEntry& entry);
   void TakeMember(const StoreEntry& entry, bool deleted);
   void StartStoreReads();
@@ -176,7 +191,7 @@
   bool MayOwnPartitions(const NodeId& node) const;
   void LearnOwner(uint32_t partition, const PartitionOwner& owner);
   void LearnOwner(const wire::PartitionOwner& owner);
-  void PushRumours(const wire::Rumours& rumours, const NodeId& except);
+  void PushRumours(wire::Rumours rumours, const NodeId& except);
 
   NodeIdentity identity_;
   std::mt19937_64 random_;
@@ -190,7 +205,9 @@
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<std::string, WorkId> work_by_request_;
+  /// Members that live or are suspected.
   std::map<NodeId, wire::Member> members_;
+  Membership membership_;
   PartitionTable partitions_;
   Ownership ownership_;
 
@@ -198,8 +215,21 @@
   std::unordered_map<StoreCallId, StoreHandler> store_calls_;
   TimePoint next_store_try_;
   bool announced_ = false;
+  bool announcing_ = false;
   bool watching_ = false;
+  /// Reads and watches of the store's member list.
+  struct MemberReads {
+    bool done = false;
+    bool reading = false;
+    StoreCallId watch;
+    TimePoint next_check;
+    TimePoint next_registrar;
+    /// Records removed as registrar, with their incarnation.
+    std::map<NodeId, uint64_t> removed;
+  };
+  MemberReads member_reads_;
   bool draining_ = false;
+  TimePoint exit_at_;
   bool exited_ = false;
 };
 
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -4,13 +4,34 @@
 #include <utility>
 
 namespace comfreylock {
+namespace {
+
+wire::Member RecordOf(const NodeIdentity& identity) {
+  wire::Member record;
+  record.set_node(identity.node);
+  record.set_service(identity.service);
+  record.set_zone(identity.zone);
+  record.set_peer_address(identity.peer_address);
+  record.set_control_address(identity.control_address);
+  record.set_incarnation(identity.incarnation);
+  return record;
+}
+
+}  // namespace
 
 Node::Node(NodeIdentity identity, TimePoint now)
     : identity_(std::move(identity)),
       random_(identity_.seed),
       now_(now),
       router_(identity_.zone, identity_.seed),
-      next_store_try_(now) {}
+      membership_(RecordOf(identity_), identity_.seeds, identity_.seed, now),
+      next_store_try_(now) {
+  if (!identity_.service.empty()) {
+    router_.SetTarget({identity_.node, identity_.service, identity_.zone,
+                       identity_.peer_address},
+                      now);
+  }
+}
 
 Node::~Node() = default;
 
@@ -30,7 +51,7 @@
     status.queued = admission_->queued();
     status.limit = admission_->limit();
   }
-  status.members = members_.size();
+  status.members = members_.size() + 1;  // And this node.
   status.calls = calls_.size();
   status.draining = draining_;
   return status;
@@ -39,6 +60,7 @@
 void Node::On(const Tick& /*event*/) {
   if (now_ >= next_store_try_)
     StartStoreReads();
+  AdvanceMembers();
   AdvancePartitions();
   if (admission_)
     Apply(admission_->Advance(now_));
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -49,6 +49,8 @@
 Reason Node::Authenticate(Call& call, const RouteRule& route) {
   if (!call.request.key)
     return route.open ? Reason::kNone : Reason::kKeyMissing;
+  if (!route.open && IsolatedFromFleet())
+    return Reason::kIsolated;
   const KeyRule* key = bundle_->FindKey(*call.request.key);
   if (!key)
     return Reason::kKeyUnknown;
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
@@ -10,17 +11,47 @@
 constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to reach the store.
 constexpr std::chrono::milliseconds kStoreRetry = 500ms;
-/// Members that a rumour is sent on to when it is new.
-constexpr size_t kRumourFanOut = 3;
+/// Nodes of each zone that watch the store's member list.
+constexpr size_t kWatchers = 3;
+constexpr std::string_view kWatchDuty = "watch members";
+constexpr std::chrono::milliseconds kRegistrarInterval = 10s;
+/// A node that left has this long to delete its record itself.
+constexpr std::chrono::milliseconds kLeaveTime = 10s;
+/// The longest hold of a rate share: the record of a dead node shows until
+/// then that it may still hold one.
+constexpr std::chrono::milliseconds kDeadTime = 15min;
+/// Time between the end of the last request and the exit, in which the
+/// sockets send what is queued: answers and the rumour of the leave.
+constexpr std::chrono::milliseconds kExitGrace = 250ms;
+
+std::string RecordKey(const wire::Member& member) {
+  return std::string(kMembersPrefix) + member.zone() + "/" + member.node();
+}
+
+std::string_view StatusName(wire::MemberStatus status) {
+  switch (status) {
+    case wire::MEMBER_ALIVE:
+      return "alive";
+    case wire::MEMBER_SUSPECT:
+      return "suspect";
+    case wire::MEMBER_LEAVING:
+      return "leaving";
+    case wire::MEMBER_DEAD:
+      return "dead";
+    default:
+      return "unknown";
+  }
+}
 
 }  // namespace
 
-void Node::AskStore(StoreRequest request,
-                    StoreHandler handler,
-                    std::chrono::milliseconds timeout) {
+StoreCallId Node::AskStore(StoreRequest request,
+                           StoreHandler handler,
+                           std::chrono::milliseconds timeout) {
   StoreCallId id{++last_store_call_};
   store_calls_[id] = std::move(handler);
   effects_.push_back(CallStore{id, std::move(request), timeout});
+  return id;
 }
 
 void Node::AskStore(StoreRequest request, void (Node::*handler)(StoreResult)) {
@@ -37,53 +68,88 @@
   bool is_watch = std::holds_alternative<StoreWatchResult>(event.result);
   if (!is_watch)
     store_calls_.erase(found);
+  if (!std::holds_alternative<StoreFailure>(event.result))
+    membership_.OnStoreReached(now_);
   handler(event.result);
 }
 
 void Node::StartStoreReads() {
   next_store_try_ = now_ + kStoreRetry;
-  if (!announced_) {
-    wire::Member record;
-    record.set_node(identity_.node);
-    record.set_service(identity_.service);
-    record.set_zone(identity_.zone);
-    record.set_peer_address(identity_.peer_address);
-    record.set_control_address(identity_.control_address);
-    record.set_incarnation(identity_.incarnation);
-    std::string key =
-        std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
-    AskStore(StoreTransaction{{}, {{key, record.SerializeAsString()}}, {}},
-             &Node::OnAnnounced);
-  }
+  if (!announced_ && !announcing_ && !draining_)
+    Announce();
   if (!watching_) {
     ReadBundle();
-    std::string prefix(kMembersPrefix);
-    AskStore(StoreRange{prefix, PrefixEnd(prefix)}, &Node::OnMembersRead);
     watching_ = true;
   }
 }
 
-void Node::OnAnnounced(StoreResult result) {
-  announced_ = std::holds_alternative<StoreTransactionResult>(result);
+void Node::Announce() {
+  announcing_ = true;
+  const wire::Member& record = membership_.self();
+  std::string value = record.SerializeAsString();
+  AskStore(StoreTransaction{{}, {{RecordKey(record), value}}, {}},
+           [this](const StoreResult& result) {
+             announcing_ = false;
+             announced_ =
+                 std::holds_alternative<StoreTransactionResult>(result);
+           });
 }
 
-void Node::OnMembersRead(StoreResult result) {
+void Node::AdvanceMembers() {
+  membership_.SetBundleVersion(bundle_ ? bundle_->version : 0);
+  Apply(membership_.Advance(now_));
+  if (now_ >= member_reads_.next_check) {
+    std::uniform_int_distribution<int64_t> spread(500, 1500);
+    member_reads_.next_check =
+        now_ + std::chrono::milliseconds(spread(random_));
+    bool watcher = !draining_ && membership_.HasZoneDuty(kWatchDuty, kWatchers);
+    bool watching = static_cast<bool>(member_reads_.watch);
+    if (!member_reads_.reading &&
+        (!member_reads_.done || (watcher && !watching))) {
+      ReadMembers();
+    }
+    if (!watcher && watching) {
+      store_calls_.erase(member_reads_.watch);
+      AskStore(StoreCancelWatch{member_reads_.watch},
+               [](const StoreResult&) {});
+      member_reads_.watch = {};
+    }
+  }
+  if (now_ >= member_reads_.next_registrar) {
+    member_reads_.next_registrar = now_ + kRegistrarInterval;
+    if (!draining_ && membership_.IsRegistrar())
+      RemoveOldRecords();
+  }
+}
+
+void Node::ReadMembers() {
+  member_reads_.reading = true;
+  std::string prefix(kMembersPrefix);
+  AskStore(StoreRange{prefix, PrefixEnd(prefix)},
+           [this](const StoreResult& result) { OnMembersRead(result); });
+}
+
+void Node::OnMembersRead(const StoreResult& result) {
+  member_reads_.reading = false;
   const auto* range = std::get_if<StoreRangeResult>(&result);
-  if (!range) {
-    watching_ = false;
+  if (!range)
     return;
-  }
+  member_reads_.done = true;
   for (const auto& entry : range->entries)
     TakeMember(entry, false);
+  if (draining_ || !membership_.HasZoneDuty(kWatchDuty, kWatchers))
+    return;
   std::string prefix(kMembersPrefix);
-  AskStore(StoreWatch{prefix, PrefixEnd(prefix), range->revision + 1},
-           &Node::OnMembersChanged);
+  member_reads_.watch = AskStore(
+      StoreWatch{prefix, PrefixEnd(prefix), range->revision + 1},
+      [this](const StoreResult& changes) { OnMembersChanged(changes); });
 }
 
-void Node::OnMembersChanged(StoreResult result) {
+void Node::OnMembersChanged(const StoreResult& result) {
   const auto* watch = std::get_if<StoreWatchResult>(&result);
   if (!watch) {
-    watching_ = false;
+    // The list is read again, and watched from there.
+    member_reads_.watch = {};
     return;
   }
   for (const auto& change : watch->changes)
@@ -93,39 +159,107 @@
 void Node::TakeMember(const StoreEntry& entry, bool deleted) {
   NodeId node = entry.key.substr(entry.key.rfind('/') + 1);
   if (deleted) {
-    members_.erase(node);
-    router_.RemoveTarget(node);
-    OnOwnerGone(node);
+    Apply(membership_.LearnDeleted(node, now_));
+    return;
+  }
+  wire::Member member;
+  if (member.ParseFromString(entry.value) && member.node() == node)
+    Apply(membership_.LearnFromStore(member, now_));
+}
+
+void Node::Apply(MembershipChanges changes) {
+  for (auto& message : changes.messages)
+    effects_.push_back(std::move(message));
+  for (const auto& member : changes.members)
+    ApplyMember(member);
+}
+
+void Node::ApplyMember(const wire::Member& member) {
+  bool gone = member.status() == wire::MEMBER_LEAVING ||
+              member.status() == wire::MEMBER_DEAD;
+  if (member.node() == identity_.node) {
+    // Others took this node for gone, so its record may have been deleted.
+    announced_ = announced_ && !gone;
+    return;
+  }
+  if (gone) {
+    members_.erase(member.node());
+    router_.RemoveTarget(member.node());
   } else {
-    wire::Member member;
-    if (!member.ParseFromString(entry.value))
-      return;
-    members_[node] = member;
+    members_[member.node()] = member;
     if (!member.service().empty()) {
-      router_.SetTarget(
-          {node, member.service(), member.zone(), member.peer_address()}, now_);
+      router_.SetTarget({member.node(), member.service(), member.zone(),
+                         member.peer_address()},
+                        now_);
     }
   }
-  effects_.push_back(Log{LogCode::kMemberChanged,
-                         {{"node", node}, {"left", deleted ? "yes" : "no"}}});
+  if (member.status() != wire::MEMBER_ALIVE)
+    OnOwnerGone(member.node());
+  effects_.push_back(
+      Log{LogCode::kMemberChanged,
+          {{"node", member.node()},
+           {"status", std::string(StatusName(member.status()))}}});
+}
+
+void Node::RemoveOldRecords() {
+  for (const auto& [node, member] : membership_.members()) {
+    const wire::Member& record = member.record;
+    if (record.zone() != identity_.zone)
+      continue;
+    auto age = now_ - member.since;
+    bool left = record.status() == wire::MEMBER_LEAVING && age > kLeaveTime;
+    bool dead = record.status() == wire::MEMBER_DEAD && age > kDeadTime;
+    if (!left && !dead)
+      continue;
+    uint64_t& removed = member_reads_.removed[node];
+    if (removed < record.incarnation())
+      RemoveRecord(record);
+  }
+  std::erase_if(member_reads_.removed, [this](const auto& entry) {
+    return !membership_.members().contains(entry.first);
+  });
+}
+
+void Node::RemoveRecord(const wire::Member& member) {
+  AskStore(StoreRange{RecordKey(member)}, [this,
+                                           member](const StoreResult& result) {
+    const auto* range = std::get_if<StoreRangeResult>(&result);
+    if (!range)
+      return;
+    wire::Member stored;
+    if (range->entries.empty() ||
+        !stored.ParseFromString(range->entries[0].value) ||
+        stored.incarnation() > member.incarnation()) {
+      member_reads_.removed[member.node()] = member.incarnation();
+      return;
+    }
+    // The compare keeps the record of a node that starts again meanwhile.
+    std::string key = RecordKey(member);
+    AskStore(
+        StoreTransaction{{{key, range->entries[0].mod_revision}}, {}, {{key}}},
+        [](const StoreResult&) {});
+  });
 }
 
 void Node::On(const PeerMessageReceived& event) {
-  if (event.message.has_rumours()) {
-    for (const auto& owner : event.message.rumours().owners())
+  Apply(membership_.Receive(event, now_));
+  if (const wire::Rumours* rumours = Membership::RumoursIn(event.message)) {
+    for (const auto& owner : rumours->owners())
       LearnOwner(owner);
   }
 }
 
-void Node::PushRumours(const wire::Rumours& rumours, const NodeId& except) {
+void Node::PushRumours(wire::Rumours rumours, const NodeId& except) {
+  membership_.Fill(rumours, 0, now_);
   std::vector<const wire::Member*> peers;
   for (const auto& [node, member] : members_) {
-    if (node != identity_.node && node != except)
+    if (node != except)
       peers.push_back(&member);
   }
-  std::ranges::shuffle(peers, random_);
-  peers.resize(std::min(peers.size(), kRumourFanOut));
-  for (const wire::Member* peer : peers) {
+  std::vector<const wire::Member*> picked;
+  std::ranges::sample(peers, std::back_inserter(picked), Membership::kFanOut,
+                      random_);
+  for (const wire::Member* peer : picked) {
     SendToPeer send{peer->node(), peer->control_address(), {}};
     *send.message.mutable_rumours() = rumours;
     effects_.push_back(std::move(send));
@@ -137,19 +271,24 @@
     return;
   draining_ = true;
   effects_.push_back(Log{LogCode::kNodeDraining, {}});
-  std::string key =
-      std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
-  AskStore(StoreTransaction{{}, {}, {{key}}}, &Node::OnAnnounced);
-  announced_ = true;
+  Apply(membership_.Leave(now_));
+  router_.RemoveTarget(identity_.node);
+  AskStore(StoreTransaction{{}, {}, {{RecordKey(membership_.self())}}},
+           [](const StoreResult&) {});
   ReleasePartitions();
   FinishDrain();
 }
 
 void Node::FinishDrain() {
-  if (!draining_ || exited_ || !calls_.empty() || !works_.empty() ||
+  if (!draining_ || exited_)
+    return;
+  if (exit_at_ == TimePoint() || !calls_.empty() || !works_.empty() ||
       ownership_.releasing) {
+    exit_at_ = now_ + kExitGrace;
     return;
   }
+  if (now_ < exit_at_)
+    return;
   exited_ = true;
   effects_.push_back(Log{LogCode::kNodeStopped, {}});
   effects_.push_back(Exit{});
--- a/src/reducer_partition.cc
+++ b/src/reducer_partition.cc
@@ -284,7 +284,9 @@
 }
 
 bool Node::MayOwnPartitions(const NodeId& node) const {
-  return members_.contains(node);
+  auto found = members_.find(node);
+  return found != members_.end() &&
+         found->second.status() == wire::MEMBER_ALIVE;
 }
 
 bool Node::PreferredOwnerOf(uint32_t partition) const {
@@ -310,6 +312,7 @@
   news.set_partition(partition);
   news.set_node(owner.node);
   news.set_epoch(owner.epoch);
+  membership_.SetOwner(news);
   PushRumours(rumours, owner.node);
 }
 
--- a/tests/core/fleet_loop.h
+++ b/tests/core/fleet_loop.h
@@ -130,6 +130,8 @@
     Host& host = hosts[id];
     host.node = std::make_unique<Node>(identity, now);
     host.queue.clear();
+    std::erase_if(watches_,
+                  [&](const auto& watch) { return watch.node == id; });
   }
 
   /// Runs ticks and everything that falls due.
@@ -215,6 +217,12 @@
       watches_.push_back({id, call.call, *watch});
       return;
     }
+    if (const auto* cancel = std::get_if<StoreCancelWatch>(&call.request)) {
+      std::erase_if(watches_, [&](const auto& watch) {
+        return watch.node == id && watch.call == cancel->watch;
+      });
+      return;
+    }
     StoreResult result = store.Handle(call.request, now);
     if (fault == StoreFault::kLoseAnswer)
       queue.emplace_back(now + call.timeout,
--- /dev/null
+++ b/tests/core/membership_test.cc
@@ -0,0 +1,280 @@
+#include "comfreylock/membership.h"
+
+#include <gtest/gtest.h>
+
+#include "fleet_loop.h"
+
+namespace comfreylock {
+namespace {
+
+std::string Name(int i) {
+  return "node-" + std::to_string(1000 + i);
+}
+
+wire::Member RecordFor(int i) {
+  wire::Member record;
+  record.set_node(Name(i));
+  record.set_service("label-proofs");
+  record.set_zone("zone-" + std::to_string(i % 3));
+  record.set_peer_address("10.200.100." + std::to_string(i % 250) + ":40001");
+  record.set_control_address("10.200.100." + std::to_string(i % 250) + ":" +
+                             std::to_string(40002 + i));
+  record.set_incarnation(1'790'000'000'000 + i);
+  return record;
+}
+
+/// Size as sent, with the envelope and its code.
+size_t EnvelopeBytes(const wire::Member& sender, const SendToPeer& send) {
+  wire::PeerEnvelope envelope;
+  envelope.set_version(1);
+  envelope.set_sender(sender.node());
+  envelope.set_incarnation(sender.incarnation());
+  envelope.set_sender_control_address(sender.control_address());
+  envelope.set_payload(send.message.SerializeAsString());
+  envelope.set_mac(std::string(32, 'x'));
+  return envelope.ByteSizeLong();
+}
+
+/// Greatest bytes per second that one of `count` idle nodes sends.
+size_t IdleBytesPerSecond(int count) {
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<std::unique_ptr<Membership>> nodes;
+  std::map<std::string, size_t> by_address;
+  for (int i = 0; i < count; ++i) {
+    nodes.push_back(std::make_unique<Membership>(
+        RecordFor(i), std::vector<std::string>{}, i + 1, now));
+    nodes[i]->SetBundleVersion(12345);
+    nodes[i]->OnStoreReached(now);
+    by_address[RecordFor(i).control_address()] = i;
+    for (int j = 0; j < count; ++j)
+      nodes[i]->LearnFromStore(RecordFor(j), now);
+  }
+  constexpr int kSeconds = 30;
+  TimePoint counted = now + 20s;
+  std::vector<size_t> bytes(count);
+  std::vector<std::pair<size_t, PeerMessageReceived>> arriving;
+  for (TimePoint end = counted + std::chrono::seconds(kSeconds); now < end;
+       now += 10ms) {
+    auto due = std::exchange(arriving, {});
+    auto carry_out = [&](size_t from, MembershipChanges changes) {
+      const wire::Member& self = nodes[from]->self();
+      for (auto& send : changes.messages) {
+        if (now >= counted)
+          bytes[from] += EnvelopeBytes(self, send);
+        arriving.push_back({by_address.at(send.control_address),
+                            {self.node(), self.control_address(),
+                             self.incarnation(), std::move(send.message)}});
+      }
+    };
+    for (auto& [to, message] : due)
+      carry_out(to, nodes[to]->Receive(message, now));
+    for (int i = 0; i < count; ++i)
+      carry_out(i, nodes[i]->Advance(now));
+  }
+  return *std::ranges::max_element(bytes) / kSeconds;
+}
+
+// Guards against control traffic that grows with the fleet.
+TEST(MembershipTest, IdleNodeSendsLittle) {
+  for (int count : {12, 200}) {
+    size_t rate = IdleBytesPerSecond(count);
+    RecordProperty("bytes_per_second_" + std::to_string(count),
+                   std::to_string(rate));
+    std::cout << count << " members: " << rate << " bytes/s\n";
+    EXPECT_LT(rate, 3000u) << count;
+    EXPECT_GT(rate, 100u) << count;
+  }
+}
+
+// Guards against messages that grow with the fleet, also the whole table that
+// a newcomer is sent.
+TEST(MembershipTest, MessagesAreBounded) {
+  TimePoint now{std::chrono::hours(1)};
+  Membership node(RecordFor(0), {}, 1, now);
+  size_t sent = 0;
+  auto check = [&](const MembershipChanges& changes) {
+    for (const auto& send : changes.messages) {
+      EXPECT_LT(EnvelopeBytes(node.self(), send), 32u * 1024);
+      const wire::Rumours* rumours = Membership::RumoursIn(send.message);
+      sent += rumours ? rumours->members_size() : 0;
+    }
+  };
+  for (int i = 1; i < 2000; ++i) {
+    PeerMessageReceived news{Name(1), "10.0.0.1:1", 1, {}};
+    *news.message.mutable_rumours()->add_members() = RecordFor(i);
+    check(node.Receive(news, now));
+  }
+  for (int i = 0; i < 100; ++i, now += 10ms)
+    check(node.Advance(now));
+  sent = 0;
+  PeerMessageReceived ask{Name(2), "10.0.0.2:1", 1, {}};
+  ask.message.mutable_rumours()->set_full_sync_request(true);
+  check(node.Receive(ask, now));
+  EXPECT_EQ(sent, 2000u);
+}
+
+class FleetTest : public ::testing::Test {
+ protected:
+  void Start(FleetLoop& loop, int count) {
+    for (int i = 0; i < count; ++i)
+      loop.Add(Name(i));
+    loop.Run(3s);
+  }
+
+  wire::MemberStatus StatusAt(FleetLoop& loop, int observer, int member) {
+    const auto& members =
+        loop.hosts[Name(observer)].node->membership().members();
+    auto found = members.find(Name(member));
+    return found == members.end() ? wire::MEMBER_DEAD
+                                  : found->second.record.status();
+  }
+};
+
+// Guards against live members taken for dead when messages are lost, doubled,
+// late and out of order, and against a dead one that is kept.
+TEST_F(FleetTest, FaultyMessagesKillNobody) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FleetLoop loop(seed);
+    loop.lost = 0.15;
+    loop.doubled = 0.2;
+    loop.longest_delay = 120ms;
+    Start(loop, 5);
+    for (int step = 0; step < 600; ++step) {
+      loop.Run(100ms);
+      for (int i = 0; i < 5; ++i) {
+        for (int j = 0; j < 5; ++j) {
+          if (i == j)
+            continue;
+          ASSERT_LT(StatusAt(loop, i, j), wire::MEMBER_LEAVING) << seed;
+        }
+      }
+    }
+    loop.hosts[Name(4)].node.reset();
+    loop.Run(15s);
+    for (int i = 0; i < 4; ++i)
+      EXPECT_EQ(StatusAt(loop, i, 4), wire::MEMBER_DEAD) << seed;
+  }
+}
+
+// Guards against a paused member that stays dead for good after it woke, that
+// is taken for restarted, or that takes the others for dead on waking.
+TEST_F(FleetTest, PausedMemberRefutes) {
+  FleetLoop loop(7);
+  Start(loop, 4);
+  loop.hosts[Name(0)].paused = true;
+  loop.Run(15s);
+  EXPECT_EQ(StatusAt(loop, 1, 0), wire::MEMBER_DEAD);
+  loop.hosts[Name(0)].queue.clear();
+  loop.hosts[Name(0)].paused = false;
+  for (int step = 0; step < 50; ++step) {
+    loop.Run(100ms);
+    for (int i = 1; i < 4; ++i)
+      ASSERT_LT(StatusAt(loop, 0, i), wire::MEMBER_LEAVING);
+  }
+  for (int i = 1; i < 4; ++i) {
+    EXPECT_EQ(StatusAt(loop, i, 0), wire::MEMBER_ALIVE);
+    const auto& record =
+        loop.hosts[Name(i)].node->membership().members().at(Name(0)).record;
+    EXPECT_EQ(record.incarnation(), 1u);
+    EXPECT_GT(record.refutation(), 0u);
+  }
+}
+
+// Guards against nodes that cannot find each other while the store is away.
+TEST_F(FleetTest, SeedsReplaceTheStoreAtStart) {
+  FleetLoop loop(8);
+  loop.store_fault = [](const NodeId&, const StoreRequest&) {
+    return StoreFault::kLoseRequest;
+  };
+  for (int i = 0; i < 5; ++i)
+    loop.Add(Name(i), {"c-" + Name(0), "c-" + Name(1)});
+  loop.Run(5s);
+  for (int i = 0; i < 5; ++i) {
+    for (int j = 0; j < 5; ++j) {
+      if (i == j)
+        continue;
+      EXPECT_EQ(StatusAt(loop, i, j), wire::MEMBER_ALIVE);
+    }
+  }
+}
+
+// Guards against calls sent to a leaving node for longer than its rumour
+// takes, and against an exit before the rumour is out.
+TEST_F(FleetTest, LeavingIsKnownAtOnce) {
+  FleetLoop loop(9);
+  Start(loop, 5);
+  loop.Feed(Name(2), DrainRequested{});
+  EXPECT_FALSE(loop.hosts[Name(2)].exited);
+  loop.Run(200ms);
+  for (int i : {0, 1, 3, 4})
+    EXPECT_EQ(StatusAt(loop, i, 2), wire::MEMBER_LEAVING);
+  loop.Run(300ms);
+  EXPECT_TRUE(loop.hosts[Name(2)].exited);
+  EXPECT_FALSE(
+      loop.store.values.contains("/comfreylock/members/zone-a/" + Name(2)));
+}
+
+// Guards against a cut-off minority that goes on serving keyed routes, and
+// against a fleet that stops serving because the store is away.
+TEST_F(FleetTest, OnlyACutOffMinorityIsIsolated) {
+  FleetLoop loop(10);
+  Start(loop, 5);
+  auto isolated = [&](int i) {
+    return loop.hosts[Name(i)].node->IsolatedFromFleet();
+  };
+  bool minority_only = false;
+  auto in_minority = [](const NodeId& id) { return id <= Name(1); };
+  loop.store_fault = [&](const NodeId& id, const StoreRequest&) {
+    return minority_only && !in_minority(id) ? StoreFault::kNone
+                                             : StoreFault::kLoseRequest;
+  };
+  for (int step = 0; step < 600; ++step) {
+    loop.Run(1s);
+    for (int i = 0; i < 5; ++i)
+      ASSERT_FALSE(isolated(i)) << step;
+  }
+  minority_only = true;
+  loop.Run(20s);
+  EXPECT_FALSE(isolated(0)) << "its peers reach the store";
+  loop.cut = [&](const NodeId& from, const NodeId& to) {
+    return in_minority(from) != in_minority(to);
+  };
+  loop.Run(40s);
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(isolated(i), i <= 1) << i;
+}
+
+// Guards against store watches and reads that grow with the fleet, and against
+// records of dead members that stay for good or go too early.
+TEST_F(FleetTest, StoreCallsDoNotGrowWithMembers) {
+  FleetLoop loop(11);
+  size_t watches = 0;
+  size_t cancelled = 0;
+  size_t reads = 0;
+  loop.store_fault = [&](const NodeId&, const StoreRequest& request) {
+    const auto* watch = std::get_if<StoreWatch>(&request);
+    const auto* range = std::get_if<StoreRange>(&request);
+    watches += watch && watch->key == "/comfreylock/members/";
+    cancelled += std::holds_alternative<StoreCancelWatch>(request);
+    reads += range && range->key == "/comfreylock/members/";
+    return StoreFault::kNone;
+  };
+  Start(loop, 9);
+  // A few start a watch before they know the others, and end it.
+  EXPECT_EQ(watches - cancelled, 3u);
+  size_t early = watches;
+  loop.Run(60s);
+  EXPECT_EQ(watches, early);
+  EXPECT_LE(reads, 18u);
+  std::string record = "/comfreylock/members/zone-a/" + Name(8);
+  loop.hosts[Name(8)].node.reset();
+  loop.Run(14min);
+  EXPECT_TRUE(loop.store.values.contains(record));
+  loop.Run(90s);
+  EXPECT_FALSE(loop.store.values.contains(record));
+  EXPECT_TRUE(
+      loop.store.values.contains("/comfreylock/members/zone-a/" + Name(7)));
+}
+
+}  // namespace
+}  // namespace comfreylock
