Resume store watches, repeat reads, and bound a node's store calls

Cause: a watch that ended was re-read by the reducer, a failed read was given up at once, and nothing bounded a node's calls. The stand-in store had no compaction, rate caps or hanging outage, accepted keys on leases that were gone, and let leases run out during outages.

Change: EtcdStore resumes a watch after the last change it gave (jittered pause of 100 ms to 2 s) and fails it only when cancelled or compacted; the reducer then reads and watches from there, and takes records that are gone from the list as deleted. Failed reads are repeated twice with full jitter. A node has 20 reads/s (burst 200) and 100 transactions/s (burst 200); lease calls are exempt, one lease for each node. Calls are counted by kind. The stand-in gets compact, limits, hang, lost answers for a chosen path, counters by client, and a lease clock that stops during outages.

A watch that is opened while the store hangs waits until it answers.

--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -146,6 +146,7 @@
   void ReadBundle();
   void OnBundleRead(StoreResult result);
   void OnBundleChanged(StoreResult result);
+  void RepeatReads();
   void Announce();
   void AdvanceMembers();
   void ReadMembers();
@@ -212,7 +213,15 @@
   Ownership ownership_;
 
   uint64_t last_store_call_ = 0;
-  std::unordered_map<StoreCallId, StoreHandler> store_calls_;
+  struct StoreAsk {
+    StoreHandler handler;
+    std::optional<StoreRange> read;  ///< Set for reads, which are repeated.
+    std::chrono::milliseconds timeout{0};
+    uint32_t tries = 0;
+    TimePoint next;
+  };
+  std::unordered_map<StoreCallId, StoreAsk> store_calls_;
+  std::vector<StoreAsk> store_repeats_;  ///< Failed reads, to be repeated.
   TimePoint next_store_try_;
   bool announced_ = false;
   bool announcing_ = false;
@@ -221,6 +230,7 @@
   struct MemberReads {
     bool done = false;
     bool reading = false;
+    std::set<NodeId> stored;  ///< Nodes with a record when last read.
     StoreCallId watch;
     TimePoint next_check;
     TimePoint next_registrar;
--- a/include/comfreylock/store.h
+++ b/include/comfreylock/store.h
@@ -66,8 +66,10 @@
   int64_t lease = 0;
 };
 
-/// Waits for changes of a key or range after a revision. One result is given
-/// for each change until the watch is cancelled or fails.
+/// Waits for changes of a key or range from a revision on. The client resumes
+/// a watch whose connection ended without a gap; the watch fails only if it is
+/// cancelled or the history it needs is gone. Then read again, and watch from
+/// the revision after that read.
 struct StoreWatch {
   std::string key;
   std::string range_end;
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -60,6 +60,7 @@
 void Node::On(const Tick& /*event*/) {
   if (now_ >= next_store_try_)
     StartStoreReads();
+  RepeatReads();
   AdvanceMembers();
   AdvancePartitions();
   if (admission_)
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -11,6 +11,10 @@
 constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to reach the store.
 constexpr std::chrono::milliseconds kStoreRetry = 500ms;
+/// How often a read that failed is repeated before its asker is told, and the
+/// longest pause before the first repetition; the pause doubles.
+constexpr uint32_t kReadRepeats = 2;
+constexpr std::chrono::milliseconds kReadPause = 100ms;
 /// Nodes of each zone that watch the store's member list.
 constexpr size_t kWatchers = 3;
 constexpr std::string_view kWatchDuty = "watch members";
@@ -49,7 +53,11 @@
                            StoreHandler handler,
                            std::chrono::milliseconds timeout) {
   StoreCallId id{++last_store_call_};
-  store_calls_[id] = std::move(handler);
+  StoreAsk& ask = store_calls_[id];
+  ask.handler = std::move(handler);
+  ask.timeout = timeout;
+  if (const auto* range = std::get_if<StoreRange>(&request))
+    ask.read = *range;
   effects_.push_back(CallStore{id, std::move(request), timeout});
   return id;
 }
@@ -64,13 +72,34 @@
   auto found = store_calls_.find(event.call);
   if (found == store_calls_.end())
     return;
-  auto handler = found->second;
+  StoreAsk ask = found->second;
   bool is_watch = std::holds_alternative<StoreWatchResult>(event.result);
   if (!is_watch)
     store_calls_.erase(found);
-  if (!std::holds_alternative<StoreFailure>(event.result))
+  if (!std::holds_alternative<StoreFailure>(event.result)) {
     membership_.OnStoreReached(now_);
-  handler(event.result);
+  } else if (ask.read && ask.tries < kReadRepeats) {
+    // Full jitter, so that nodes do not repeat their reads together.
+    std::uniform_int_distribution<int64_t> spread(
+        0, (kReadPause * (1 << ask.tries)).count());
+    ask.next = now_ + std::chrono::milliseconds(spread(random_));
+    ++ask.tries;
+    store_repeats_.push_back(std::move(ask));
+    return;
+  }
+  ask.handler(event.result);
+}
+
+void Node::RepeatReads() {
+  auto due = std::stable_partition(
+      store_repeats_.begin(), store_repeats_.end(),
+      [this](const auto& ask) { return ask.next > now_; });
+  for (auto it = due; it != store_repeats_.end(); ++it) {
+    StoreCallId id{++last_store_call_};
+    effects_.push_back(CallStore{id, *it->read, it->timeout});
+    store_calls_[id] = std::move(*it);
+  }
+  store_repeats_.erase(due, store_repeats_.end());
 }
 
 void Node::StartStoreReads() {
@@ -135,8 +164,16 @@
   if (!range)
     return;
   member_reads_.done = true;
-  for (const auto& entry : range->entries)
+  // Records that were deleted while nobody watched here.
+  auto before = std::exchange(member_reads_.stored, {});
+  for (const auto& entry : range->entries) {
     TakeMember(entry, false);
+    member_reads_.stored.insert(entry.key.substr(entry.key.rfind('/') + 1));
+  }
+  for (const auto& node : before) {
+    if (!member_reads_.stored.contains(node))
+      Apply(membership_.LearnDeleted(node, now_));
+  }
   if (draining_ || !membership_.HasZoneDuty(kWatchDuty, kWatchers))
     return;
   std::string prefix(kMembersPrefix);
--- a/src/store_etcd.cc
+++ b/src/store_etcd.cc
@@ -1,9 +1,12 @@
 #include "store_etcd.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "comfreylock/config.h"
 #include "crypto.h"
@@ -18,6 +21,23 @@
 /// Longest accepted answer of the store, bytes.
 constexpr size_t kMaxAnswerBytes = 64 << 20;
 
+/// Budget of one node. Transactions: the owner of 4 partitions writes each of
+/// them at most every 50 ms. Reads: the parts of a large bundle, seldom.
+constexpr double kReadsPerSecond = 20;
+constexpr double kReadBurst = 200;
+constexpr double kTransactionsPerSecond = 100;
+constexpr double kTransactionBurst = 200;
+/// Pause before a watch that ended is opened again; it doubles up to the
+/// longest and is jittered.
+constexpr std::chrono::milliseconds kWatchPause = 100ms;
+constexpr std::chrono::milliseconds kLongestWatchPause = 2s;
+
+/// The history from which a watch would go on is gone.
+class CompactedError : public Error {
+ public:
+  using Error::Error;
+};
+
 /// The gateway writes 64-bit numbers as text.
 int64_t NumberOf(const json& object, const char* field) {
   auto found = object.find(field);
@@ -133,15 +153,51 @@
     : executor_(executor),
       address_(std::move(address)),
       callback_(std::move(callback)),
-      pool_(executor, kIdleLimit) {}
+      pool_(executor, kIdleLimit),
+      reads_{kReadsPerSecond, kReadBurst, kReadBurst,
+             std::chrono::steady_clock::now()},
+      transactions_{kTransactionsPerSecond, kTransactionBurst,
+                    kTransactionBurst, std::chrono::steady_clock::now()},
+      random_(std::random_device()()) {}
+
+bool EtcdStore::Spend(Budget& budget) {
+  auto now = std::chrono::steady_clock::now();
+  std::chrono::duration<double> passed = now - budget.since;
+  budget.since = now;
+  budget.left =
+      std::min(budget.burst, budget.left + passed.count() * budget.rate);
+  if (budget.left < 1) {
+    ++counters_.over_budget;
+    return false;
+  }
+  budget.left -= 1;
+  return true;
+}
+
+bool EtcdStore::Admit(const StoreRequest& request) {
+  if (std::holds_alternative<StoreRange>(request)) {
+    ++counters_.reads;
+    return Spend(reads_);
+  }
+  if (std::holds_alternative<StoreTransaction>(request)) {
+    ++counters_.transactions;
+    return Spend(transactions_);
+  }
+  // One lease for each node; its renewals must not wait behind other calls.
+  ++counters_.lease_calls;
+  return true;
+}
 
 void EtcdStore::Start(StoreCallId call,
                       StoreRequest request,
                       std::chrono::milliseconds timeout) {
   if (const auto* cancel = std::get_if<StoreCancelWatch>(&request)) {
     auto found = watches_.find(cancel->watch);
-    if (found != watches_.end())
-      found->second->Close();
+    if (found != watches_.end()) {
+      found->second->cancelled = true;
+      if (found->second->connection)
+        found->second->connection->Close();
+    }
     return;
   }
   if (const auto* watch = std::get_if<StoreWatch>(&request)) {
@@ -152,7 +208,11 @@
       executor_,
       [this, call, request = std::move(request),
        timeout]() -> asio::awaitable<void> {
-        StoreResult result = co_await Run(request, After(timeout));
+        StoreResult result = StoreFailure{"over the node's budget of calls"};
+        if (Admit(request))
+          result = co_await Run(request, After(timeout));
+        if (std::holds_alternative<StoreFailure>(result))
+          ++counters_.failures;
         callback_(call, std::move(result));
       },
       asio::detached);
@@ -216,45 +276,83 @@
 }
 
 asio::awaitable<void> EtcdStore::RunWatch(StoreCallId call, StoreWatch watch) {
-  StoreFailure failure{"the watch ended", false};
-  try {
-    // A watch stays open for days; TCP tells when the store is gone, and the
-    // reducer re-reads from time to time.
-    IoDeadline deadline = After(24h);
-    auto connection = std::make_shared<HttpConnection>(executor_, address_);
-    co_await connection->Connect(After(2s));
-    watches_[call] = connection;
-    json create = {{"key", ToBase64(watch.key)},
-                   {"start_revision", std::to_string(watch.start_revision)}};
-    if (!watch.range_end.empty())
-      create["range_end"] = ToBase64(watch.range_end);
-    std::string text = json({{"create_request", create}}).dump();
-    BufferedBody content(text);
-    bool sent = false;
-    co_await connection->Send(PostHead("/v3/watch", address_, text.size()),
-                              &content, deadline, sent);
-    co_await connection->ReceiveHead(false);
-    std::string pending;
-    while (true) {
-      std::string piece = co_await connection->body().Read();
-      if (piece.empty())
-        break;
-      pending += piece;
-      size_t end = 0;
-      while ((end = pending.find('\n')) != std::string::npos) {
-        json message = json::parse(pending.substr(0, end));
-        pending.erase(0, end + 1);
-        auto result = message.find("result");
-        if (result == message.end())
-          throw Error("the watch failed: " + message.dump());
-        callback_(call, WatchResultOf(*result));
-      }
+  auto open = std::make_shared<OpenWatch>();
+  watches_[call] = open;
+  StoreFailure failure{"the watch was cancelled", false};
+  asio::steady_timer timer(executor_);
+  std::chrono::milliseconds pause = kWatchPause;
+  while (!open->cancelled) {
+    int64_t before = watch.start_revision;
+    try {
+      co_await WatchOnce(call, watch, *open);
+    } catch (const CompactedError& error) {
+      failure.message = error.what();
+      break;
+    } catch (const std::exception&) {
+      // The connection ended: the watch goes on after the last change seen.
     }
-  } catch (const std::exception& error) {
-    failure.message = error.what();
+    if (open->cancelled)
+      break;
+    if (watch.start_revision != before)
+      pause = kWatchPause;
+    std::uniform_int_distribution<int64_t> spread(pause.count() / 2,
+                                                  pause.count());
+    timer.expires_after(std::chrono::milliseconds(spread(random_)));
+    co_await timer.async_wait(asio::use_awaitable);
+    pause = std::min(pause * 2, kLongestWatchPause);
   }
   watches_.erase(call);
   callback_(call, failure);
 }
 
+asio::awaitable<void> EtcdStore::WatchOnce(StoreCallId call,
+                                           StoreWatch& watch,
+                                           OpenWatch& open) {
+  ++counters_.watches;
+  // A watch stays open for days; TCP tells when the store is gone.
+  IoDeadline deadline = After(24h);
+  open.connection = std::make_shared<HttpConnection>(executor_, address_);
+  auto connection = open.connection;
+  co_await connection->Connect(After(2s));
+  json create = {{"key", ToBase64(watch.key)},
+                 {"start_revision", std::to_string(watch.start_revision)}};
+  if (!watch.range_end.empty())
+    create["range_end"] = ToBase64(watch.range_end);
+  std::string text = json({{"create_request", create}}).dump();
+  BufferedBody content(text);
+  bool sent = false;
+  co_await connection->Send(PostHead("/v3/watch", address_, text.size()),
+                            &content, deadline, sent);
+  co_await connection->ReceiveHead(false);
+  std::string pending;
+  while (!open.cancelled) {
+    std::string piece = co_await connection->body().Read();
+    if (piece.empty())
+      co_return;
+    pending += piece;
+    size_t end = 0;
+    while ((end = pending.find('\n')) != std::string::npos) {
+      json message = json::parse(pending.substr(0, end));
+      pending.erase(0, end + 1);
+      auto found = message.find("result");
+      if (found == message.end())
+        throw Error("the watch failed: " + message.dump());
+      StoreWatchResult result = WatchResultOf(*found);
+      if (result.compacted_revision != 0) {
+        throw CompactedError("the history before revision " +
+                             std::to_string(result.compacted_revision) +
+                             " is gone");
+      }
+      // Revisions in headers may be ahead of the changes sent so far, so only
+      // the changes say from where to go on.
+      for (const auto& change : result.changes) {
+        watch.start_revision =
+            std::max(watch.start_revision, change.entry.mod_revision + 1);
+      }
+      if (!open.cancelled)
+        callback_(call, std::move(result));
+    }
+  }
+}
+
 }  // namespace comfreylock
--- a/src/store_etcd.h
+++ b/src/store_etcd.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -16,6 +17,16 @@
 
 class EtcdStore : public StoreClient {
  public:
+  /// Calls made since start.
+  struct Counters {
+    uint64_t reads = 0;
+    uint64_t transactions = 0;
+    uint64_t lease_calls = 0;
+    uint64_t watches = 0;  ///< Including reconnections.
+    uint64_t failures = 0;
+    uint64_t over_budget = 0;  ///< Refused without a call.
+  };
+
   /// @param address IP:PORT of the gateway.
   /// @param callback receives every result, on the executor's thread.
   EtcdStore(asio::any_io_executor executor,
@@ -26,7 +37,27 @@
              StoreRequest request,
              std::chrono::milliseconds timeout) override;
 
+  const Counters& counters() const { return counters_; }
+
  private:
+  /// Bounds one kind of calls of this node.
+  struct Budget {
+    double rate;   ///< Calls per second.
+    double burst;  ///< Calls.
+    double left;
+    IoDeadline since;
+  };
+  struct OpenWatch {
+    std::shared_ptr<HttpConnection> connection;
+    bool cancelled = false;
+  };
+
+  bool Spend(Budget& budget);
+  bool Admit(const StoreRequest& request);
+  asio::awaitable<void> WatchOnce(StoreCallId call,
+                                  StoreWatch& watch,
+                                  OpenWatch& open);
+
   asio::awaitable<StoreResult> Run(const StoreRequest& request,
                                    IoDeadline deadline);
   asio::awaitable<nlohmann::json> Post(std::string path,
@@ -39,7 +70,11 @@
   std::string address_;
   Callback callback_;
   HttpPool pool_;
-  std::map<StoreCallId, std::shared_ptr<HttpConnection>> watches_;
+  std::map<StoreCallId, std::shared_ptr<OpenWatch>> watches_;
+  Budget reads_;
+  Budget transactions_;
+  Counters counters_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace comfreylock
--- a/standins/standin_store.cc
+++ b/standins/standin_store.cc
@@ -1,5 +1,6 @@
 #include "standin_store.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <boost/asio/write.hpp>
@@ -42,6 +43,17 @@
     co_return;
   }
   ++counters_[path];
+  boost::system::error_code ignored;
+  auto client = exchange.stream.socket().remote_endpoint(ignored);
+  ++counters_[client.address().to_string() + ":" +
+              std::to_string(client.port()) + " " + path];
+  if (Hanging()) {
+    ++counters_["hung"];
+    co_await WaitWhileHanging();
+    // The client has given up by now; the request was not carried out.
+    exchange.keep_alive = false;
+    co_return;
+  }
   if (Away()) {
     ++counters_["refused_away"];
     exchange.keep_alive = false;
@@ -71,14 +83,67 @@
     co_await Reply(exchange, 404, R"({"error":"no such method"})");
     co_return;
   }
+  if (OverLimit(path == "/v3/kv/range" ? reads_ : writes_)) {
+    ++counters_["over_limit"];
+    co_await Reply(exchange, 429, R"({"error":"too many requests"})");
+    co_return;
+  }
   Json answer = (this->*method->second)(body);
-  if (lose_answers_ > 0 && path != "/v3/kv/range") {
-    --lose_answers_;
-    ++counters_["lost_answers"];
+  if (LosesAnswer(path)) {
     exchange.keep_alive = false;
     co_return;
   }
-  co_await Reply(exchange, 200, answer.dump());
+  co_await Reply(exchange, answer.contains("error") ? 404 : 200, answer.dump());
+}
+
+bool StandinStore::LosesAnswer(const std::string& path) {
+  bool chosen =
+      lose_path_.empty() ? path != "/v3/kv/range" : path == lose_path_;
+  if (lose_answers_ <= 0 || !chosen)
+    return false;
+  --lose_answers_;
+  ++counters_["lost_answers"];
+  return true;
+}
+
+bool StandinStore::OverLimit(Limit& limit) {
+  if (limit.most == 0)
+    return false;
+  if (Clock::now() - limit.since >= std::chrono::seconds(1)) {
+    limit.since = Clock::now();
+    limit.used = 0;
+  }
+  return ++limit.used > limit.most;
+}
+
+void StandinStore::SetAway(Clock::time_point& until,
+                           std::chrono::milliseconds time) {
+  auto rest = [this] {
+    auto end = std::max(away_until_, hang_until_);
+    return std::max(end - Clock::now(), Clock::duration::zero());
+  };
+  ExpireLeases();
+  auto before = rest();
+  until = Clock::now() + time;
+  auto added = rest() - before;
+  for (auto& [id, lease] : leases_)
+    lease.expires += added;
+}
+
+void StandinStore::Compact() {
+  compacted_ = revision_;
+  std::erase_if(changes_, [this](const Change& change) {
+    return change.revision < compacted_;
+  });
+}
+
+bool StandinStore::Hanging() const {
+  return Clock::now() < hang_until_;
+}
+
+asio::awaitable<void> StandinStore::WaitWhileHanging() {
+  while (Hanging())
+    co_await Pause(std::chrono::milliseconds(20));
 }
 
 StandinStore::Json StandinStore::Range(const Json& body) {
@@ -109,6 +174,13 @@
   if (!holds)
     return {{"header", Header()}, {"succeeded", false}};
   const Json operations = body.value("success", Json::array());
+  for (const auto& operation : operations) {
+    const Json put = operation.value("request_put", Json::object());
+    int64_t lease = Number(put, "lease");
+    if (lease != 0 && !leases_.contains(lease)) {
+      return {{"error", "etcdserver: requested lease not found"}, {"code", 5}};
+    }
+  }
   if (!operations.empty())
     ++revision_;
   for (const auto& operation : operations) {
@@ -171,7 +243,19 @@
                                     asio::use_awaitable);
   Json created = {{"result", {{"header", Header()}, {"created", true}}}};
   std::string pending = created.dump() + "\n";
+  if (next < compacted_) {
+    Json ended = {{"result",
+                   {{"header", Header()},
+                    {"canceled", true},
+                    {"compact_revision", std::to_string(compacted_)}}}};
+    pending += ended.dump() + "\n";
+    co_await asio::async_write(exchange.stream,
+                               http::make_chunk(asio::buffer(pending)),
+                               asio::use_awaitable);
+    co_return;
+  }
   while (!Away()) {
+    co_await WaitWhileHanging();
     Json events = Json::array();
     for (const auto& change : changes_) {
       if (change.revision < next || !InRange(change.key, from, end))
@@ -204,11 +288,20 @@
   std::string path = target.substr(0, target.find('?'));
   std::chrono::milliseconds time(std::atoll(QueryValue(target, "ms").c_str()));
   if (path == "/standin/outage")
-    away_until_ = Clock::now() + time;
+    SetAway(away_until_, time);
+  else if (path == "/standin/hang")
+    SetAway(hang_until_, time);
+  else if (path == "/standin/compact")
+    Compact();
   else if (path == "/standin/delay")
     delay_ = time;
-  else if (path == "/standin/lose-answers")
+  else if (path == "/standin/lose-answers") {
     lose_answers_ = std::atoi(QueryValue(target, "count").c_str());
+    lose_path_ = QueryValue(target, "path");
+  } else if (path == "/standin/limits") {
+    writes_ = {std::atoll(QueryValue(target, "writes").c_str()), 0, {}};
+    reads_ = {std::atoll(QueryValue(target, "reads").c_str()), 0, {}};
+  }
   co_await Reply(exchange, 200, Json(counters_).dump());
 }
 
--- a/standins/standin_store.h
+++ b/standins/standin_store.h
@@ -22,8 +22,16 @@
   explicit StandinStore(asio::io_context& context);
 
   /// Serves one request, including `/standin/...` for tests:
-  /// `POST /standin/outage?ms=N`, `POST /standin/delay?ms=N`,
-  /// `POST /standin/lose-answers?count=N` and `GET /standin/counters`.
+  /// - `POST /standin/outage?ms=N`: closes every connection that is used.
+  /// - `POST /standin/hang?ms=N`: leaves every request without answer.
+  ///   Leases do not run during an outage of either kind.
+  /// - `POST /standin/delay?ms=N`: delays every answer.
+  /// - `POST /standin/lose-answers?count=N[&path=/v3/...]`: carries out the
+  ///   next N calls (writes, or those of the path) without an answer.
+  /// - `POST /standin/limits?writes=N&reads=N`: answers 429 above N calls in
+  ///   a second; 0: no limit.
+  /// - `POST /standin/compact`: forgets the history before this revision.
+  /// - `GET /standin/counters`: calls by path and by `client path`.
   asio::awaitable<void> Handle(Exchange& exchange);
 
  private:
@@ -50,6 +58,20 @@
     Clock::time_point expires;
   };
 
+  /// Calls counted in the present second.
+  struct Limit {
+    int64_t most = 0;
+    int64_t used = 0;
+    Clock::time_point since;
+  };
+
+  bool OverLimit(Limit& limit);
+  bool LosesAnswer(const std::string& path);
+  void SetAway(Clock::time_point& until, std::chrono::milliseconds time);
+  void Compact();
+  bool Hanging() const;
+  asio::awaitable<void> WaitWhileHanging();
+
   Json Range(const Json& body);
   Json Transaction(const Json& body);
   Json Grant(const Json& body);
@@ -74,6 +96,11 @@
   int64_t revision_ = 1;
   int64_t last_lease_ = 1000;
   Clock::time_point away_until_;
+  Clock::time_point hang_until_;
+  int64_t compacted_ = 0;
+  Limit writes_;
+  Limit reads_;
+  std::string lose_path_;
   std::chrono::milliseconds delay_{0};
   int lose_answers_ = 0;
   std::map<std::string, uint64_t> counters_;
--- /dev/null
+++ b/tests/io/store_etcd_test.cc
@@ -0,0 +1,217 @@
+#include "store_etcd.h"
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+
+#include "comfreylock/config.h"
+#include "standin_store.h"
+
+namespace comfreylock {
+namespace {
+
+using standins::StandinStore;
+
+constexpr std::chrono::milliseconds kLong{20'000};
+
+/// A client and the stand-in store on one thread.
+class StoreEtcdTest : public ::testing::Test {
+ protected:
+  StoreEtcdTest() : standin_(context_) {
+    asio::ip::tcp::acceptor probe(context_,
+                                  {asio::ip::address_v4::loopback(), 0});
+    address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    probe.close();
+    asio::co_spawn(context_,
+                   standins::Serve(context_, address_,
+                                   [this](standins::Exchange& exchange) {
+                                     return standin_.Handle(exchange);
+                                   }),
+                   asio::detached);
+    store_ = std::make_unique<EtcdStore>(
+        context_.get_executor(), address_,
+        [this](StoreCallId call, StoreResult result) {
+          results_[call].push_back(std::move(result));
+        });
+  }
+
+  StoreCallId Start(StoreRequest request,
+                    std::chrono::milliseconds timeout = kLong) {
+    StoreCallId call{++last_call_};
+    store_->Start(call, std::move(request), timeout);
+    return call;
+  }
+
+  /// Waits for the next result of a call.
+  StoreResult Next(StoreCallId call) {
+    while (results_[call].empty())
+      context_.run_one();
+    StoreResult result = results_[call].front();
+    results_[call].erase(results_[call].begin());
+    return result;
+  }
+
+  template <typename Result>
+  Result Ask(StoreRequest request, std::chrono::milliseconds timeout = kLong) {
+    return std::get<Result>(Next(Start(std::move(request), timeout)));
+  }
+
+  void Put(const std::string& value, int64_t lease = 0) {
+    Ask<StoreTransactionResult>(StoreTransaction{{}, {{"k", value, lease}}});
+  }
+
+  nlohmann::json Control(const std::string& target) {
+    std::string answer;
+    bool done = false;
+    asio::co_spawn(
+        context_,
+        [&]() -> asio::awaitable<void> {
+          auto deadline = std::chrono::steady_clock::now() + kLong;
+          HttpConnection connection(context_.get_executor(), address_);
+          co_await connection.Connect(deadline);
+          RequestHead head;
+          head.method(http::verb::post);
+          head.target("/standin/" + target);
+          head.version(11);
+          head.set(http::field::host, address_);
+          SetFraming(head, 0);
+          bool sent = false;
+          co_await connection.Send(head, nullptr, deadline, sent);
+          co_await connection.ReceiveHead(false);
+          bool whole = false;
+          answer = co_await ReadUpTo(connection.body(), 1 << 20, whole);
+          done = true;
+        },
+        asio::detached);
+    while (!done)
+      context_.run_one();
+    return nlohmann::json::parse(answer);
+  }
+
+  /// Values of the next `count` changes of a watch.
+  std::vector<std::string> Changes(StoreCallId watch, size_t count) {
+    std::vector<std::string> values;
+    while (values.size() < count) {
+      StoreResult result = Next(watch);
+      for (const auto& change : std::get<StoreWatchResult>(result).changes)
+        values.push_back(change.entry.value);
+    }
+    return values;
+  }
+
+  asio::io_context context_{1};
+  StandinStore standin_;
+  std::string address_;
+  std::unique_ptr<EtcdStore> store_;
+  std::map<StoreCallId, std::vector<StoreResult>> results_;
+  uint64_t last_call_ = 0;
+};
+
+// Guards against changes that are missed or given twice when the connection of
+// a watch ends.
+TEST_F(StoreEtcdTest, WatchResumesWithoutGap) {
+  StoreCallId watch = Start(StoreWatch{"k", "", 1});
+  Put("1");
+  EXPECT_EQ(Changes(watch, 1), std::vector<std::string>{"1"});
+  Put("2");
+  Put("3");
+  Control("outage?ms=300");
+  while (std::holds_alternative<StoreFailure>(
+      Next(Start(StoreTransaction{{}, {{"k", "4"}}})))) {
+  }
+  EXPECT_EQ(Changes(watch, 3), (std::vector<std::string>{"2", "3", "4"}));
+  EXPECT_GE(store_->counters().watches, 2u);
+  Start(StoreCancelWatch{watch});
+  EXPECT_TRUE(std::holds_alternative<StoreFailure>(Next(watch)));
+}
+
+// Guards against a watch that goes on behind a compaction as if nothing had
+// been lost.
+TEST_F(StoreEtcdTest, WatchBehindCompactionFails) {
+  Put("1");
+  Put("2");
+  Put("3");
+  Control("compact");
+  StoreCallId watch = Start(StoreWatch{"k", "", 2});
+  StoreResult result = Next(watch);
+  while (std::holds_alternative<StoreWatchResult>(result))
+    result = Next(watch);
+  EXPECT_NE(std::get<StoreFailure>(result).message.find("is gone"),
+            std::string::npos);
+  auto range = Ask<StoreRangeResult>(StoreRange{"k"});
+  watch = Start(StoreWatch{"k", "", range.revision + 1});
+  Put("4");
+  EXPECT_EQ(Changes(watch, 1), std::vector<std::string>{"4"});
+}
+
+// Guards against a call that never ends, and against a lost answer that is
+// reported as certain.
+TEST_F(StoreEtcdTest, DeadlineAndDoubt) {
+  Control("hang?ms=60000");
+  auto failure = Ask<StoreFailure>(StoreRange{"k"}, 50ms);
+  EXPECT_FALSE(failure.maybe_done);
+  failure = Ask<StoreFailure>(StoreTransaction{{}, {{"k", "1"}}}, 50ms);
+  EXPECT_TRUE(failure.maybe_done);
+  Control("hang?ms=0");
+  EXPECT_TRUE(Ask<StoreRangeResult>(StoreRange{"k"}).entries.empty());
+  Control("lose-answers?count=1&path=/v3/kv/txn");
+  auto lease = Ask<StoreLeaseResult>(StoreLeaseGrant{5s});
+  EXPECT_NE(lease.lease, 0);
+  failure = Ask<StoreFailure>(StoreTransaction{{}, {{"k", "2"}}});
+  EXPECT_TRUE(failure.maybe_done);
+  EXPECT_EQ(Ask<StoreRangeResult>(StoreRange{"k"}).entries[0].value, "2");
+}
+
+// Guards against a node that uses up the store's rate.
+TEST_F(StoreEtcdTest, CallsHaveABudget) {
+  constexpr int kCalls = 400;
+  std::vector<StoreCallId> calls;
+  for (int i = 0; i < kCalls; ++i)
+    calls.push_back(Start(StoreRange{"k"}));
+  int refused = 0;
+  for (StoreCallId call : calls)
+    refused += std::holds_alternative<StoreFailure>(Next(call));
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(store_->counters().reads, static_cast<uint64_t>(kCalls));
+  EXPECT_EQ(store_->counters().over_budget, static_cast<uint64_t>(refused));
+  EXPECT_NE(Ask<StoreLeaseResult>(StoreLeaseGrant{5s}).lease, 0);
+}
+
+// Guards against a stand-in that is kinder than the store: no rate caps, keys
+// on a lease that is gone, leases that run out during an outage.
+TEST_F(StoreEtcdTest, StandinKeepsLimitsAndLeases) {
+  Control("limits?writes=2&reads=100");
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    refused += std::holds_alternative<StoreFailure>(
+        Next(Start(StoreTransaction{{}, {{"k", "1"}}})));
+  }
+  EXPECT_GT(refused, 0);
+  Control("limits?writes=0&reads=0");
+  auto lease = Ask<StoreLeaseResult>(StoreLeaseGrant{3s});
+  Put("leased", lease.lease);
+  Control("outage?ms=3300");
+  while (std::holds_alternative<StoreFailure>(Next(Start(StoreRange{"k"})))) {
+    asio::steady_timer pause(context_, 20ms);
+    bool over = false;
+    pause.async_wait([&](auto) { over = true; });
+    while (!over)
+      context_.run_one();
+  }
+  auto kept = Ask<StoreLeaseResult>(StoreLeaseKeepAlive{lease.lease});
+  EXPECT_EQ(kept.ttl, 3s);
+  Ask<StoreLeaseResult>(StoreLeaseRevoke{lease.lease});
+  EXPECT_TRUE(Ask<StoreRangeResult>(StoreRange{"k"}).entries.empty());
+  EXPECT_EQ(Ask<StoreLeaseResult>(StoreLeaseKeepAlive{lease.lease}).ttl, 0s);
+  auto failure =
+      Ask<StoreFailure>(StoreTransaction{{}, {{"k", "orphan", lease.lease}}});
+  EXPECT_TRUE(Ask<StoreRangeResult>(StoreRange{"k"}).entries.empty());
+  auto counters = Control("counters");
+  EXPECT_GT(counters["over_limit"], 0);
+  bool by_client = false;
+  for (const auto& [name, count] : counters.items())
+    by_client = by_client || name.ends_with(" /v3/kv/txn");
+  EXPECT_TRUE(by_client);
+}
+
+}  // namespace
+}  // namespace comfreylock
