--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -17,6 +17,7 @@
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
 #include "comfreylock/goodput.h"
+#include "comfreylock/membership.h"
 #include "comfreylock/partition.h"
 #include "comfreylock/policy.h"
 #include "comfreylock/quarantine.h"
@@ -75,6 +76,13 @@
   /// @return the owners of partitions that this node knows.
   const PartitionTable& partitions() const { return partitions_; }
 
+  /// @return all members that this node knows, also those that are gone.
+  const Membership& membership() const { return membership_; }
+
+  /// @return whether this node may have missed withdrawn keys because it is
+  /// cut off; it then serves no keyed routes.
+  bool IsolatedFromFleet() const { return membership_.Isolated(now_); }
+
   NodeStatus status() const;
 
   /// @return whole answers and refusals of each organisation at this entry.
@@ -170,7 +178,7 @@
 
   // Bundle.
   /// @return whether this node reads and watches the head in the store.
-  bool IsStoreWatcher() const { return true; }
+  bool IsStoreWatcher() const;
   void ReadBundle();
   void OnBundleRead(StoreResult result);
   void OnBundleChanged(StoreResult result);
@@ -183,7 +191,8 @@
   void AdvanceBundle();
   void TellBundleVersion(size_t peers);
   void AskForParts(const NodeId& node, const std::string& address);
-  void OnBundleVersion(const PeerMessageReceived& event);
+  void OnBundleVersion(const wire::Rumours& rumours,
+                       const PeerMessageReceived& event);
   void OnBundleHead(const PeerMessageReceived& event);
   void OnBundlePartRequest(const PeerMessageReceived& event);
   void OnBundlePart(const PeerMessageReceived& event);
@@ -193,15 +202,24 @@
 
   // Fleet.
   using StoreHandler = std::function<void(const StoreResult&)>;
-  void AskStore(StoreRequest request,
-                StoreHandler handler,
-                std::chrono::milliseconds timeout = std::chrono::seconds(1));
+  StoreCallId AskStore(
+      StoreRequest request,
+      StoreHandler handler,
+      std::chrono::milliseconds timeout = std::chrono::seconds(1));
   void AskStore(StoreRequest request, void (Node::*handler)(StoreResult));
-  void OnMembersRead(StoreResult result);
-  void OnMembersChanged(StoreResult result);
-  void OnAnnounced(StoreResult result);
+  void RepeatReads();
+  void Announce();
+  void AdvanceMembers();
+  void ReadMembers();
+  void OnMembersRead(const StoreResult& result);
+  void OnMembersChanged(const StoreResult& result);
+  void Apply(MembershipChanges changes);
+  void ApplyMember(const wire::Member& member);
+  void RemoveOldRecords();
+  void RemoveRecord(const wire::Member& member);
   void TakeMember(const StoreEntry& entry, bool deleted);
   void StartStoreReads();
+  bool HasWatchDuty() const;
   void FinishDrain();
 
   // Ownership of partitions (reducer_partition.cc).
@@ -235,7 +253,9 @@
   bool MayOwnPartitions(const NodeId& node) const;
   void LearnOwner(uint32_t partition, const PartitionOwner& owner);
   void LearnOwner(const wire::PartitionOwner& owner);
-  void PushRumours(const wire::Rumours& rumours, const NodeId& except);
+  /// Tells some members which requests crash targets.
+  void PushQuarantine(const NodeId& except);
+  void PushRumours(wire::Rumours rumours, const NodeId& except);
 
   NodeIdentity identity_;
   std::mt19937_64 random_;
@@ -259,17 +279,43 @@
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<std::string, WorkId> work_by_request_;
+  /// Members that live or are suspected.
   std::map<NodeId, wire::Member> members_;
+  Membership membership_;
   PartitionTable partitions_;
   Ownership ownership_;
 
   uint64_t last_store_call_ = 0;
-  std::unordered_map<StoreCallId, StoreHandler> store_calls_;
+  struct StoreAsk {
+    StoreHandler handler;
+    std::optional<StoreRange> read;  ///< Set for reads, which are repeated.
+    std::chrono::milliseconds timeout{0};
+    uint32_t tries = 0;
+    TimePoint next;
+  };
+  std::unordered_map<StoreCallId, StoreAsk> store_calls_;
+  std::vector<StoreAsk> store_repeats_;  ///< Failed reads, to be repeated.
   TimePoint next_store_try_;
   bool announced_ = false;
-  bool watching_ = false;
+  bool announcing_ = false;
+  bool watching_ = false;      ///< Reads or watches the bundle's head.
+  bool bundle_read_ = false;   ///< The head was read once.
+  StoreCallId bundle_watch_;
   bool store_reached_ = false;
+  /// Reads and watches of the store's member list.
+  struct MemberReads {
+    bool done = false;
+    bool reading = false;
+    std::set<NodeId> stored;  ///< Nodes with a record when last read.
+    StoreCallId watch;
+    TimePoint next_check;
+    TimePoint next_registrar;
+    /// Records removed as registrar, with their incarnation.
+    std::map<NodeId, uint64_t> removed;
+  };
+  MemberReads member_reads_;
   bool draining_ = false;
+  TimePoint exit_at_;
   bool exited_ = false;
 };
 
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -4,6 +4,20 @@
 #include <utility>
 
 namespace comfreylock {
+namespace {
+
+wire::Member RecordOf(const NodeIdentity& identity) {
+  wire::Member record;
+  record.set_node(identity.node);
+  record.set_service(identity.service);
+  record.set_zone(identity.zone);
+  record.set_peer_address(identity.peer_address);
+  record.set_control_address(identity.control_address);
+  record.set_incarnation(identity.incarnation);
+  return record;
+}
+
+}  // namespace
 
 Node::Node(NodeIdentity identity, TimePoint now)
     : identity_(std::move(identity)),
@@ -17,7 +31,14 @@
           {identity_.node, identity_.zone, identity_.seed, identity_.policy}),
       retry_(MakeRetryPolicy(identity_.policy)),
       quarantine_(identity_.node, identity_.incarnation),
-      next_store_try_(now) {}
+      membership_(RecordOf(identity_), identity_.seeds, identity_.seed, now),
+      next_store_try_(now) {
+  if (!identity_.service.empty()) {
+    router_.SetTarget({identity_.node, identity_.service, identity_.zone,
+                       identity_.peer_address},
+                      now);
+  }
+}
 
 Node::~Node() = default;
 
@@ -38,7 +59,7 @@
     status.limit = admission_->limit();
     status.shed_level = admission_->shed_level();
   }
-  status.members = members_.size();
+  status.members = members_.size() + 1;  // And this node.
   status.calls = calls_.size();
   status.draining = draining_;
   status.store_reached = store_reached_;
@@ -48,6 +69,8 @@
 void Node::On(const Tick& /*event*/) {
   if (now_ >= next_store_try_)
     StartStoreReads();
+  RepeatReads();
+  AdvanceMembers();
   AdvancePartitions();
   AdvanceBundle();
   if (admission_)
--- a/src/reducer_bundle.cc
+++ b/src/reducer_bundle.cc
@@ -7,9 +7,11 @@
 /// and putting newer versions into force.
 namespace comfreylock {
 
+bool Node::IsStoreWatcher() const {
+  return !draining_ && HasWatchDuty();
+}
+
 void Node::ReadBundle() {
-  if (!IsStoreWatcher())
-    return;
   AskStore(StoreRange{std::string(kBundleHeadKey)}, &Node::OnBundleRead);
 }
 
@@ -21,13 +23,20 @@
   }
   for (const auto& entry : range->entries)
     OfferBundle(entry.value, entry.key, now_);
-  AskStore(StoreWatch{std::string(kBundleHeadKey), "", range->revision + 1},
-           &Node::OnBundleChanged);
+  bundle_read_ = true;
+  if (!IsStoreWatcher()) {
+    watching_ = false;
+    return;
+  }
+  bundle_watch_ = AskStore(
+      StoreWatch{std::string(kBundleHeadKey), "", range->revision + 1},
+      [this](const StoreResult& changes) { OnBundleChanged(changes); });
 }
 
 void Node::OnBundleChanged(StoreResult result) {
   const auto* watch = std::get_if<StoreWatchResult>(&result);
   if (!watch) {
+    bundle_watch_ = {};
     watching_ = false;
     return;
   }
@@ -91,7 +100,7 @@
 }
 
 void Node::AdvanceBundle() {
-  if (now_ >= next_part_read_ && IsStoreWatcher()) {
+  if (now_ >= next_part_read_ && (IsStoreWatcher() || !bundle_)) {
     for (const auto& digest : bundle_intake_.Missing()) {
       AskStore(StoreRange{std::string(kBundlePartPrefix) + digest},
                &Node::OnBundlePartRead);
@@ -130,8 +139,9 @@
   effects_.push_back(SendToPeer{node, address, message});
 }
 
-void Node::OnBundleVersion(const PeerMessageReceived& event) {
-  uint64_t version = event.message.rumours().bundle_version();
+void Node::OnBundleVersion(const wire::Rumours& rumours,
+                           const PeerMessageReceived& event) {
+  uint64_t version = rumours.bundle_version();
   if (version > bundle_intake_.version()) {
     // Several members tell a new version at about the same time; one answer
     // is enough. A version that was checked and rejected is not asked again.
--- a/src/reducer_work.cc
+++ b/src/reducer_work.cc
@@ -165,6 +165,7 @@
     effects_.push_back(Log{LogCode::kRequestQuarantined,
                            {{"fingerprint", ToHex(fingerprint)}}});
   }
+  PushQuarantine(identity_.node);
 }
 
 void Node::CancelOnwardCalls(const Work& work) {
