--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -58,6 +58,31 @@
 /// Difference from the wanted share that is not corrected at once.
 inline constexpr double kShareSlack = 0.1;
 
+// Claims.
+/// Least interval of store requests for one partition's log.
+inline constexpr std::chrono::milliseconds kClaimWriteInterval = 50ms;
+/// Interval at which an entry repeats a request, result or release.
+inline constexpr std::chrono::milliseconds kClaimRepeat = 100ms;
+/// How long a released claim is remembered to release late grants again.
+inline constexpr std::chrono::milliseconds kClaimKeptClosed = 60s;
+/// Age at which keys that carry their time are refused.
+inline constexpr std::chrono::milliseconds kClaimWindow = 24h;
+/// Records are kept longer by this, as the wall clocks of owners may differ.
+inline constexpr std::chrono::milliseconds kClaimMargin = 1h;
+/// Bytes of one batch; the store holds values up to a megabyte.
+inline constexpr size_t kMaxClaimBatchBytes = 512 * 1024;
+/// Batches read at a time; a page holds at most 16 MiB.
+inline constexpr int64_t kClaimPageBatches = 32;
+/// Old batches that one write deletes.
+inline constexpr size_t kClaimBatchesDeletedAtOnce = 16;
+/// Bytes of all records in one partition's index, beyond which new claims are
+/// refused; four partitions at one node stay within its 256 MB.
+inline constexpr size_t kMaxClaimIndexBytes = size_t{48} << 20;
+/// Memory of an index entry beyond its content, bytes.
+inline constexpr size_t kClaimRecordOverheadBytes = 200;
+/// Longest answer body that is kept for resends, bytes.
+inline constexpr size_t kMaxKeptAnswerBytes = 64 * 1024;
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_CONFIG_H_
