Take tokens and claims for calls; keep the answers of once-only calls

Cause: the pure modules rate and claims were not used by the reducer.

Change: a call from outside takes a token of its organisation, then, on once-only routes, waits for a confirmed claim, then is dispatched. AdmitCall is the one place that decides on both. The owner of a partition runs the allocator and the claim log under its epoch; the member list that limits who gets shares is read after the takeover. A leaving node returns its shares and waits up to 5 s until the results of its calls are recorded.

--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -59,6 +59,8 @@
 inline constexpr double kShareSlack = 0.1;
 
 // Claims.
+/// Longest wait of a leaving node until the results of its calls are recorded.
+inline constexpr std::chrono::milliseconds kDrainForClaims = 5s;
 /// Least interval of store requests for one partition's log.
 inline constexpr std::chrono::milliseconds kClaimWriteInterval = 50ms;
 /// Interval at which an entry repeats a request, result or release.
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -13,9 +13,11 @@
 
 #include "comfreylock/admission.h"
 #include "comfreylock/bundle.h"
+#include "comfreylock/claims.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
 #include "comfreylock/partition.h"
+#include "comfreylock/rate.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/types.h"
 
@@ -89,6 +91,7 @@
     NodeId node;
     std::vector<NodeId> tried;
     bool may_have_run = false;
+    bool refused = false;  ///< Already answered; nothing follows.
   };
 
   /// A request at this host's target.
@@ -121,7 +124,50 @@
   void DispatchCall(Call& call, std::chrono::milliseconds delay);
   bool MayRetry(const Call& call, const AttemptEnded& event) const;
   void FailCall(Call& call, const AttemptEnded& event);
-  void Refuse(const Call& call, Reason reason, Outcome outcome);
+  void Refuse(Call& call, Reason reason, Outcome outcome);
+
+  // Rate (reducer_rate.cc) and claims (reducer_claims.cc).
+  /// What this node keeps for a partition that it owns.
+  struct OwnedPartition {
+    uint64_t epoch = 0;
+    RateAllocator rate;
+    ClaimPartition claims;
+    bool members_read = false;
+    TimePoint next_member_read;
+  };
+  void AdmitCall(Call& call);
+  void OnRateVerdict(Call& call, RateLimiter::Decision decision);
+  void ClaimCall(Call& call);
+  /// Releases the claim of a refused call, or reports its outcome unknown.
+  void EndClaim(const Call& call);
+  void RecordAnswer(const Call& call, const AttemptEnded& event);
+  void Apply(const ClaimTracker::Decisions& decisions);
+  /// @return null unless this node owns the partition and has set it up.
+  OwnedPartition* Owned(uint32_t partition);
+  void SyncOwned();
+  void ReadMembersFor(uint32_t partition, OwnedPartition& owned);
+  void AdvanceRate();
+  void AdvanceClaims();
+  void SendShareRequests(const RateLimiter::Requests& requests);
+  void SendClaimMessages();
+  void Send(ClaimPartition::Replies replies);
+  void SendToNode(const NodeId& node, wire::PeerMessage message);
+  void SendToOwner(uint32_t partition, wire::PeerMessage message);
+  void SendNotOwner(const NodeId& to,
+                    uint32_t partition,
+                    uint64_t claim,
+                    uint64_t incarnation);
+  void HandlePeerMessage(const NodeId& from, const wire::PeerMessage& message);
+  void OnShareRequest(const NodeId& from, const wire::PeerMessage& message);
+  void OnShareGrant(const NodeId& from, const wire::PeerMessage& message);
+  void OnNotOwner(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimRequest(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimResult(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimReleased(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimGranted(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimRefused(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimAcknowledged(const NodeId& from,
+                           const wire::PeerMessage& message);
 
   // Requests at the target.
   void Apply(const AdmissionChanges& changes);
@@ -159,6 +205,7 @@
     bool releasing = false;
     std::set<uint32_t> taking;
   };
+  static std::string OwnerKey(uint32_t partition);
   void AdvancePartitions();
   void AskLease();
   void RenewLease();
@@ -192,6 +239,9 @@
   std::unordered_map<std::string, WorkId> work_by_request_;
   std::map<NodeId, wire::Member> members_;
   PartitionTable partitions_;
+  RateLimiter rate_;
+  ClaimTracker claims_;
+  std::map<uint32_t, std::unique_ptr<OwnedPartition>> owned_;
   Ownership ownership_;
 
   uint64_t last_store_call_ = 0;
@@ -200,6 +250,7 @@
   bool announced_ = false;
   bool watching_ = false;
   bool draining_ = false;
+  TimePoint drain_started_;
   bool exited_ = false;
 };
 
--- a/src/http_edge.cc
+++ b/src/http_edge.cc
@@ -79,6 +79,29 @@
   bool keep_alive() const { return parser->get().keep_alive(); }
 };
 
+wire::StoredAnswer HttpEdge::AnswerToKeep(const Attempt& attempt) {
+  wire::StoredAnswer kept;
+  kept.set_status(attempt.head.result_int());
+  if (!attempt.whole || attempt.beginning.size() > kMaxKeptAnswerBytes) {
+    kept.set_body_omitted(true);
+    return kept;
+  }
+  ResponseHead head = attempt.head;
+  RemoveHopByHop(head);
+  RemovePrivateFields(head);
+  head.erase(http::field::date);
+  head.erase(http::field::connection);
+  // Both are set anew for each resend.
+  head.erase(http::field::content_length);
+  head.erase("X-Request-Id");
+  for (const auto& field : head) {
+    kept.add_header_names(std::string(field.name_string()));
+    kept.add_header_values(std::string(field.value()));
+  }
+  kept.set_body(attempt.beginning);
+  return kept;
+}
+
 HttpEdge::HttpEdge(asio::io_context& context, NodeHost& host, Limits limits)
     : context_(context),
       host_(host),
@@ -218,13 +241,14 @@
     answer.head.version(11);
     answer.head.result(replay->answer.status());
     for (int i = 0; i < replay->answer.header_names_size(); ++i) {
-      answer.head.set(replay->answer.header_names(i),
-                      replay->answer.header_values(i));
+      answer.head.insert(replay->answer.header_names(i),
+                         replay->answer.header_values(i));
     }
     answer.body = replay->answer.body();
     answer.head.set("Comfreylock-Outcome", "complete");
     answer.head.set("X-Request-Id", call->request_id);
-    SetFraming(answer.head, answer.body.size());
+    if (replay->answer.status() != 204 && replay->answer.status() != 304)
+      SetFraming(answer.head, answer.body.size());
     co_await WriteSimple(stream, std::move(answer), call->is_head());
     co_return keep;
   }
@@ -409,6 +433,8 @@
     co_return;
   }
   ended.kind = AttemptKind::kAnswered;
+  if (dispatch.keep_answer)
+    ended.answer = AnswerToKeep(*attempt);
 }
 
 RequestHead HttpEdge::PeerRequest(const PendingCall& call,
--- a/src/http_edge.h
+++ b/src/http_edge.h
@@ -58,6 +58,8 @@
                                  const Dispatch& dispatch,
                                  std::shared_ptr<Attempt> attempt,
                                  AttemptEnded& ended);
+  /// @return status, end-to-end fields and body, as far as they are kept.
+  static wire::StoredAnswer AnswerToKeep(const Attempt& attempt);
   RequestHead PeerRequest(const PendingCall& call, const Dispatch& dispatch);
   RequestSummary Summarise(const PendingCall& call) const;
   CallPointer Find(CallId call);
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -10,6 +10,8 @@
       random_(identity_.seed),
       now_(now),
       router_(identity_.zone, identity_.seed),
+      rate_(identity_.incarnation),
+      claims_(identity_.incarnation),
       next_store_try_(now) {}
 
 Node::~Node() = default;
@@ -40,6 +42,8 @@
   if (now_ >= next_store_try_)
     StartStoreReads();
   AdvancePartitions();
+  AdvanceRate();
+  AdvanceClaims();
   if (admission_)
     Apply(admission_->Advance(now_));
   for (auto& [id, call] : calls_) {
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
@@ -16,7 +17,7 @@
     return;
   }
   Call& stored = calls_[event.call] = std::move(call);
-  DispatchCall(stored, 0ms);
+  AdmitCall(stored);
 }
 
 Reason Node::Classify(Call& call) {
@@ -137,6 +138,7 @@
   uint32_t spent = std::min(event.report.retries_spent(), call.retries_left);
   call.retries_left -= spent;
   if (event.kind == AttemptKind::kAnswered) {
+    RecordAnswer(call, event);
     effects_.push_back(DeliverAnswer{call.id, call.attempt});
     return;
   }
@@ -179,7 +181,10 @@
          call.may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
 }
 
-void Node::Refuse(const Call& call, Reason reason, Outcome outcome) {
+void Node::Refuse(Call& call, Reason reason, Outcome outcome) {
+  if (std::exchange(call.refused, true))
+    return;
+  EndClaim(call);
   std::chrono::milliseconds retry_after{0};
   if (InfoOf(reason).retry_after) {
     // Spread over some seconds so that refused callers do not return at once.
@@ -198,7 +203,14 @@
   auto found = calls_.find(event.call);
   if (found == calls_.end())
     return;
-  effects_.push_back(CancelAttempt{event.call, found->second.attempt});
+  Call& call = found->second;
+  if (call.attempt == 0) {
+    // Still waits for a share or a claim.
+    rate_.Cancel(call.id);
+    Refuse(call, Reason::kCallerGone, Outcome::kNotRun);
+    return;
+  }
+  effects_.push_back(CancelAttempt{event.call, call.attempt});
 }
 
 void Node::On(const CallFinished& event) {
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -115,6 +115,7 @@
     for (const auto& owner : event.message.rumours().owners())
       LearnOwner(owner);
   }
+  HandlePeerMessage(event.from, event.message);
 }
 
 void Node::PushRumours(const wire::Rumours& rumours, const NodeId& except) {
@@ -136,6 +137,8 @@
   if (draining_)
     return;
   draining_ = true;
+  drain_started_ = now_;
+  SendShareRequests(rate_.ReturnAll(now_));
   effects_.push_back(Log{LogCode::kNodeDraining, {}});
   std::string key =
       std::string(kMembersPrefix) + identity_.zone + "/" + identity_.node;
@@ -150,6 +153,9 @@
       ownership_.releasing) {
     return;
   }
+  // Answers of once-only calls are lost with this node.
+  if (claims_.busy() && now_ < drain_started_ + kDrainForClaims)
+    return;
   exited_ = true;
   effects_.push_back(Log{LogCode::kNodeStopped, {}});
   effects_.push_back(Exit{});
--- a/src/reducer_partition.cc
+++ b/src/reducer_partition.cc
@@ -36,10 +36,6 @@
 /// does not take all partitions of a fleet that starts.
 constexpr std::chrono::milliseconds kFirstRead = 500ms;
 
-std::string OwnerKey(uint32_t partition) {
-  return std::string(kOwnersPrefix) + std::to_string(partition);
-}
-
 std::string HistoryKey(uint32_t partition) {
   return std::string(kHistoryPrefix) + std::to_string(partition);
 }
@@ -60,6 +56,10 @@
 
 }  // namespace
 
+std::string Node::OwnerKey(uint32_t partition) {
+  return std::string(kOwnersPrefix) + std::to_string(partition);
+}
+
 void Node::AdvancePartitions() {
   if (!bundle_ || ownership_.released)
     return;
