Test rate and claims through whole reducers

Cause: the wiring of shares and claims was only tried with a live fleet.

Change: two reducers on a store in memory: an order sent to both runs once and the resend gets its answer; a flood through both stays within rate and burst.

--- /dev/null
+++ b/tests/core/reducer_rate_test.cc
@@ -0,0 +1,97 @@
+#include <gtest/gtest.h>
+
+#include "fleet_loop.h"
+
+namespace comfreylock {
+namespace {
+
+/// Two nodes, one organisation with a key, and a once-only route.
+class LimitedFleet {
+ public:
+  LimitedFleet() : loop(1) {
+    PresentedKey hashed = HashKey("cl_k1_secret", "00ff");
+    std::string bundle = R"({"version": 1, "partitions": 4,
+      "key_salt": "00ff",
+      "services": {"s": {"slots": 50}},
+      "organisations": {"o": {"rate": 20, "burst": 10}},
+      "keys": [{"id": "k1", "organisation": "o", "hash": ")" +
+                         hashed.hash + R"("}],
+      "routes": [
+        {"name": "read", "path": "/", "service": "s"},
+        {"name": "order", "path": "/orders", "service": "s",
+         "once_only": true}]})";
+    loop.store.Put({"/comfreylock/bundle/head", bundle, 0});
+    loop.Add("a");
+    loop.Add("b");
+    loop.Run(3s);
+  }
+
+  CallId Call(const NodeId& node, const std::string& target) {
+    CallArrived call{CallId{++last_call}};
+    call.request.method = "POST";
+    call.request.target = target;
+    call.request.key = HashKey("cl_k1_secret", "00ff");
+    call.request.request_id = std::to_string(last_call);
+    call.request.idempotency_key = "order-1";
+    call.request.body_complete = true;
+    loop.Feed(node, call);
+    return call.call;
+  }
+
+  template <typename T>
+  std::vector<T> Take(const NodeId& node) {
+    std::vector<T> found;
+    for (const auto& effect : loop.hosts[node].effects) {
+      if (const auto* wanted = std::get_if<T>(&effect))
+        found.push_back(*wanted);
+    }
+    loop.hosts[node].effects.clear();
+    return found;
+  }
+
+  FleetLoop loop;
+  uint64_t last_call = 0;
+};
+
+// Guards against an order that runs at both nodes to which it was sent, or a
+// resend that does not get the answer of the run.
+TEST(ReducerRateTest, OrderAtTwoNodesRunsOnce) {
+  LimitedFleet fleet;
+  fleet.Call("a", "/orders");
+  fleet.Call("b", "/orders");
+  fleet.loop.Run(500ms);
+  auto at_a = fleet.Take<Dispatch>("a");
+  auto at_b = fleet.Take<Dispatch>("b");
+  ASSERT_EQ(at_a.size() + at_b.size(), 1u);
+  NodeId runs = at_a.empty() ? "b" : "a";
+  NodeId waits = at_a.empty() ? "a" : "b";
+  const Dispatch& dispatch = at_a.empty() ? at_b[0] : at_a[0];
+  EXPECT_TRUE(dispatch.keep_answer);
+  AttemptEnded ended{dispatch.call, dispatch.attempt, AttemptKind::kAnswered};
+  ended.answer.emplace().set_body("printed");
+  fleet.loop.Feed(runs, ended);
+  fleet.loop.Run(500ms);
+  EXPECT_EQ(fleet.Take<DeliverAnswer>(runs).size(), 1u);
+  auto replays = fleet.Take<ReplayAnswer>(waits);
+  ASSERT_EQ(replays.size(), 1u);
+  EXPECT_EQ(replays[0].answer.body(), "printed");
+}
+
+// Guards against admissions above rate and burst when an organisation floods
+// all nodes, and against a fleet that refuses it altogether.
+TEST(ReducerRateTest, FloodStaysWithinTheRate) {
+  LimitedFleet fleet;
+  size_t dispatched = 0;
+  for (int i = 0; i < 500; ++i) {
+    fleet.Call("a", "/read");
+    fleet.Call("b", "/read");
+    fleet.loop.Run(10ms);
+    dispatched += fleet.Take<Dispatch>("a").size();
+    dispatched += fleet.Take<Dispatch>("b").size();
+  }
+  EXPECT_LE(dispatched, 20u * 5 + 10);
+  EXPECT_GE(dispatched, 90u);
+}
+
+}  // namespace
+}  // namespace comfreylock
