Give shares to nodes that join after the takeover

Cause: the owner read the member list once, after it took the partition, so a node that joined later never got a share and refused all keyed calls.

Change: later changes of the store's member list reach the allocator. While shares are locked, a node that leaves the list still counts as unreported.

Test: LateNodeGetsAShare.

--- a/include/comfreylock/rate.h
+++ b/include/comfreylock/rate.h
@@ -148,6 +148,10 @@
   /// get no share.
   void SetMembers(std::set<NodeId> members);
 
+  /// Follows a later change of the list. While shares are locked, nodes that
+  /// left the list still count as unreported.
+  void ChangeMember(const NodeId& node, bool listed);
+
   /// Tells that this incarnation of a node and all earlier ones have ended.
   void NodeEnded(const NodeId& node, uint64_t incarnation, TimePoint now);
 
--- a/src/rate.cc
+++ b/src/rate.cc
@@ -268,6 +268,13 @@
   members_known_ = true;
 }
 
+void RateAllocator::ChangeMember(const NodeId& node, bool listed) {
+  if (listed)
+    members_.insert(node);
+  else if (!locked_)
+    members_.erase(node);
+}
+
 void RateAllocator::NodeEnded(const NodeId& node,
                               uint64_t incarnation,
                               TimePoint now) {
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -106,6 +106,10 @@
           {node, member.service(), member.zone(), member.peer_address()}, now_);
     }
   }
+  for (auto& [partition, owned] : owned_) {
+    if (owned->members_read)
+      owned->rate.ChangeMember(node, !deleted);
+  }
   effects_.push_back(Log{LogCode::kMemberChanged,
                          {{"node", node}, {"left", deleted ? "yes" : "no"}}});
 }
--- a/tests/core/reducer_rate_test.cc
+++ b/tests/core/reducer_rate_test.cc
@@ -93,5 +93,15 @@
   EXPECT_GE(dispatched, 90u);
 }
 
+// Guards against a node that joins after the takeover and never gets a share.
+TEST(ReducerRateTest, LateNodeGetsAShare) {
+  LimitedFleet fleet;
+  fleet.loop.Add("c");
+  fleet.loop.Run(3s);
+  fleet.Call("c", "/read");
+  fleet.loop.Run(200ms);
+  EXPECT_EQ(fleet.Take<Dispatch>("c").size(), 1u);
+}
+
 }  // namespace
 }  // namespace comfreylock
