--- a/include/comfreylock/rate.h
+++ b/include/comfreylock/rate.h
@@ -148,6 +148,13 @@
   /// get no share.
   void SetMembers(std::set<NodeId> members);
 
+  /// @return whether the node is in the list.
+  bool IsListed(const NodeId& node) const { return members_.contains(node); }
+
+  /// Follows a later change of the list. While shares are locked, nodes that
+  /// left the list still count as unreported.
+  void ChangeMember(const NodeId& node, bool listed);
+
   /// Tells that this incarnation of a node and all earlier ones have ended.
   void NodeEnded(const NodeId& node, uint64_t incarnation, TimePoint now);
 
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -14,6 +14,7 @@
 #include "comfreylock/admission.h"
 #include "comfreylock/bundle.h"
 #include "comfreylock/bundle_head.h"
+#include "comfreylock/claims.h"
 #include "comfreylock/effects.h"
 #include "comfreylock/events.h"
 #include "comfreylock/goodput.h"
@@ -21,6 +22,7 @@
 #include "comfreylock/partition.h"
 #include "comfreylock/policy.h"
 #include "comfreylock/quarantine.h"
+#include "comfreylock/rate.h"
 #include "comfreylock/retry.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/shedding.h"
@@ -42,7 +44,7 @@
   uint64_t seed = 1;
   std::vector<std::string> seeds;  ///< Control addresses of first peers.
   Policy policy = Policy::kStandard;
-  OperatorKeys operators;          ///< Whose signatures put bundles in force.
+  OperatorKeys operators;  ///< Whose signatures put bundles in force.
 };
 
 /// Figures for the operator's listener. Cheap: read for each decision.
@@ -112,8 +114,8 @@
     bool may_have_run = false;
     bool key_refused = false;
     bool abandoned = false;  ///< The caller or the parent work is gone.
-    bool refused = false;
-    int status = 0;  ///< Of the answer that is passed on.
+    bool refused = false;    ///< Already answered; nothing follows.
+    int status = 0;          ///< Of the answer that is passed on.
     std::string fingerprint;
     bool suspect = false;  ///< An attempt crashed a target.
     uint32_t crashes = 0;
@@ -167,6 +169,59 @@
   void FailCall(Call& call, const AttemptEnded& event);
   void Refuse(Call& call, Reason reason, Outcome outcome);
 
+  // Rate (reducer_rate.cc) and claims (reducer_claims.cc).
+  /// What this node keeps for a partition that it owns.
+  struct OwnedPartition {
+    uint64_t epoch = 0;
+    RateAllocator rate;
+    ClaimPartition claims;
+    bool members_read = false;
+    TimePoint next_member_read;
+  };
+  /// Local token bucket of the baseline.
+  struct NaiveBucket {
+    double tokens = 0;
+    TimePoint filled;
+    /// @return whether there was a token.
+    bool Take(double rate, double burst, TimePoint now);
+  };
+  void AdmitCall(Call& call);
+  void AdmitNaively(Call& call);
+  /// Tells the allocators that a node admits nothing any more.
+  void EndShares(const NodeId& node, uint64_t incarnation);
+  void OnRateVerdict(Call& call, RateLimiter::Decision decision);
+  void ClaimCall(Call& call);
+  /// Releases the claim of a refused call, or reports its outcome unknown.
+  void EndClaim(const Call& call);
+  void RecordAnswer(const Call& call, const AttemptEnded& event);
+  void Apply(const ClaimTracker::Decisions& decisions);
+  /// @return null unless this node owns the partition and has set it up.
+  OwnedPartition* Owned(uint32_t partition);
+  void SyncOwned();
+  void ReadMembersFor(uint32_t partition, OwnedPartition& owned);
+  void AdvanceRate();
+  void AdvanceClaims();
+  void SendShareRequests(const RateLimiter::Requests& requests);
+  void SendClaimMessages();
+  void Send(ClaimPartition::Replies replies);
+  void SendToNode(const NodeId& node, wire::PeerMessage message);
+  void SendToOwner(uint32_t partition, wire::PeerMessage message);
+  void SendNotOwner(const NodeId& to,
+                    uint32_t partition,
+                    uint64_t claim,
+                    uint64_t incarnation);
+  void HandlePeerMessage(const NodeId& from, const wire::PeerMessage& message);
+  void OnShareRequest(const NodeId& from, const wire::PeerMessage& message);
+  void OnShareGrant(const NodeId& from, const wire::PeerMessage& message);
+  void OnNotOwner(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimRequest(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimResult(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimReleased(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimGranted(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimRefused(const NodeId& from, const wire::PeerMessage& message);
+  void OnClaimAcknowledged(const NodeId& from,
+                           const wire::PeerMessage& message);
+
   // Requests at the target.
   void Apply(const AdmissionChanges& changes);
   void Reject(WorkId work, Reason reason);
@@ -236,6 +291,7 @@
     bool releasing = false;
     std::set<uint32_t> taking;
   };
+  static std::string OwnerKey(uint32_t partition);
   void AdvancePartitions();
   void AskLease();
   void RenewLease();
@@ -283,6 +339,9 @@
   std::map<NodeId, wire::Member> members_;
   Membership membership_;
   PartitionTable partitions_;
+  RateLimiter rate_;
+  ClaimTracker claims_;
+  std::map<uint32_t, std::unique_ptr<OwnedPartition>> owned_;
   Ownership ownership_;
 
   uint64_t last_store_call_ = 0;
@@ -298,8 +357,8 @@
   TimePoint next_store_try_;
   bool announced_ = false;
   bool announcing_ = false;
-  bool watching_ = false;      ///< Reads or watches the bundle's head.
-  bool bundle_read_ = false;   ///< The head was read once.
+  bool watching_ = false;     ///< Reads or watches the bundle's head.
+  bool bundle_read_ = false;  ///< The head was read once.
   StoreCallId bundle_watch_;
   bool store_reached_ = false;
   /// Reads and watches of the store's member list.
@@ -314,8 +373,10 @@
     std::map<NodeId, uint64_t> removed;
   };
   MemberReads member_reads_;
+  std::map<std::string, NaiveBucket, std::less<>> naive_buckets_;
   bool draining_ = false;
   TimePoint exit_at_;
+  TimePoint drain_started_;
   bool exited_ = false;
 };
 
--- a/src/http_edge.cc
+++ b/src/http_edge.cc
@@ -169,6 +169,29 @@
   bool keep_alive() const { return parser->keep_alive(); }
 };
 
+wire::StoredAnswer HttpEdge::AnswerToKeep(const Attempt& attempt) {
+  wire::StoredAnswer kept;
+  kept.set_status(attempt.head.result_int());
+  if (!attempt.whole || attempt.beginning.size() > kMaxKeptAnswerBytes) {
+    kept.set_body_omitted(true);
+    return kept;
+  }
+  ResponseHead head = attempt.head;
+  RemoveHopByHop(head);
+  RemovePrivateFields(head);
+  head.erase(http::field::date);
+  head.erase(http::field::connection);
+  // Both are set anew for each resend.
+  head.erase(http::field::content_length);
+  head.erase("X-Request-Id");
+  for (const auto& field : head) {
+    kept.add_header_names(std::string(field.name_string()));
+    kept.add_header_values(std::string(field.value()));
+  }
+  kept.set_body(attempt.beginning);
+  return kept;
+}
+
 HttpEdge::HttpEdge(asio::io_context& context, NodeHost& host, Limits limits)
     : context_(context),
       host_(host),
@@ -641,6 +664,8 @@
   if (dispatch.keep_answer && attempt->whole)
     ended.answer = StoredAnswerOf(attempt->head, attempt->beginning);
   ended.kind = AttemptKind::kAnswered;
+  if (dispatch.keep_answer)
+    ended.answer = AnswerToKeep(*attempt);
 }
 
 RequestHead HttpEdge::PeerRequest(const PendingCall& call,
--- a/src/reducer.cc
+++ b/src/reducer.cc
@@ -32,6 +32,8 @@
       retry_(MakeRetryPolicy(identity_.policy)),
       quarantine_(identity_.node, identity_.incarnation),
       membership_(RecordOf(identity_), identity_.seeds, identity_.seed, now),
+      rate_(identity_.incarnation),
+      claims_(identity_.incarnation),
       next_store_try_(now) {
   if (!identity_.service.empty()) {
     router_.SetTarget({identity_.node, identity_.service, identity_.zone,
@@ -73,6 +75,8 @@
   AdvanceMembers();
   AdvancePartitions();
   AdvanceBundle();
+  AdvanceRate();
+  AdvanceClaims();
   if (admission_)
     Apply(admission_->Advance(now_));
   for (auto& [id, call] : calls_) {
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
@@ -46,7 +47,7 @@
       work.onward_since = now_;
     work.onward_calls.insert(stored.id);
   }
-  DispatchCall(stored, 0ms);
+  AdmitCall(stored);
 }
 
 Reason Node::Classify(Call& call) {
@@ -213,6 +214,7 @@
   call.status = answered ? event.status : 0;
   bool overloaded = answered && event.status == kServiceUnavailable;
   if (answered && !(overloaded && retry_->RetriesOverload())) {
+    RecordAnswer(call, event);
     effects_.push_back(DeliverAnswer{call.id, call.attempt});
     return;
   }
@@ -299,7 +301,9 @@
 }
 
 void Node::Refuse(Call& call, Reason reason, Outcome outcome) {
-  call.refused = true;
+  if (std::exchange(call.refused, true))
+    return;
+  EndClaim(call);
   auto parent = works_.find(call.parent);
   if (reason == Reason::kOverload && parent != works_.end())
     parent->second.downstream_overload = true;
@@ -329,6 +333,12 @@
   if (call.abandoned)
     return;
   call.abandoned = true;
+  if (call.attempt == 0) {
+    // Still waits for a share or a claim.
+    rate_.Cancel(call.id);
+    Refuse(call, Reason::kCallerGone, Outcome::kNotRun);
+    return;
+  }
   effects_.push_back(CancelAttempt{call.id, call.attempt});
 }
 
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -244,6 +244,9 @@
   }
   if (member.status() != wire::MEMBER_ALIVE)
     OnOwnerGone(member.node());
+  // A leaving node admits nothing any more; a dead one may only be cut off.
+  if (member.status() == wire::MEMBER_LEAVING)
+    EndShares(member.node(), member.incarnation());
   effects_.push_back(
       Log{LogCode::kMemberChanged,
           {{"node", member.node()},
@@ -310,6 +313,7 @@
     if (body == event.message.body_case())
       (this->*handler)(event);
   }
+  HandlePeerMessage(event.from, event.message);
 }
 
 void Node::PushQuarantine(const NodeId& except) {
@@ -340,6 +344,8 @@
   if (draining_)
     return;
   draining_ = true;
+  drain_started_ = now_;
+  SendShareRequests(rate_.ReturnAll(now_));
   effects_.push_back(Log{LogCode::kNodeDraining, {}});
   Apply(membership_.Leave(now_));
   router_.RemoveTarget(identity_.node);
@@ -357,7 +363,9 @@
     exit_at_ = now_ + kExitGrace;
     return;
   }
-  if (now_ < exit_at_)
+  // Answers of once-only calls are lost with this node.
+  bool results_out = claims_.busy() && now_ < drain_started_ + kDrainForClaims;
+  if (now_ < exit_at_ || results_out)
     return;
   exited_ = true;
   effects_.push_back(Log{LogCode::kNodeStopped, {}});
--- a/src/settings.h
+++ b/src/settings.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "comfreylock/bundle_head.h"
-#include "json_reader.h"
 #include "comfreylock/policy.h"
+#include "json_reader.h"
 
 /// Settings of one node, read from a JSON file with comments.
 namespace comfreylock {
--- a/src/shell.h
+++ b/src/shell.h
@@ -12,8 +12,8 @@
 #include "http_edge.h"
 #include "http_operator.h"
 #include "http_peer.h"
-#include "peer_zmq.h"
 #include "observer.h"
+#include "peer_zmq.h"
 #include "settings.h"
 #include "store_etcd.h"
 
