Give the target stand-in a queue of waiters and faulty answers

The target stand-in polled every millisecond for a free slot, kept its executions without bound as JSON, ran requests whose client had gone, and could neither crash nor answer wrongly, so failure tests could not use it.

Requests that wait for a slot now form a queue and are woken by the request that ends. A request whose client closes its connection while it waits is dropped without an execution; one whose X-Deadline-Ms passes while it waits gets 504.

There is no automated test yet.

--- /dev/null
+++ b/standins/standin_target.h
@@ -0,0 +1,123 @@
+#ifndef COMFREYLOCK_STANDINS_STANDIN_TARGET_H_
+#define COMFREYLOCK_STANDINS_STANDIN_TARGET_H_
+
+#include <chrono>
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+#include "mini_http.h"
+
+/// Stand-in for a target: a plain HTTP server with a limited number of slots,
+/// a service time, and faulty answers on request.
+namespace comfreylock::standins {
+
+struct TargetOptions {
+  std::string name = "target";
+  int slots = 50;            ///< Requests that run at a time; others wait.
+  size_t queue = 0;          ///< Requests that may wait; 0: no limit.
+  double service_ms = 2;     ///< Mean time one request takes.
+  bool exponential = false;  ///< Service times are exponential, not constant.
+  uint64_t seed = 1;         ///< Seed of exponential service times.
+  /// Time after the start in which service times fall to normal.
+  std::chrono::milliseconds cold_start{0};
+  std::string crash_on;  ///< Word that ends the process; empty: none.
+  std::string onward;    ///< IP:PORT for onward calls; empty: none.
+  std::string onward_path;
+};
+
+class StandinTarget {
+ public:
+  StandinTarget(asio::io_context& context, TargetOptions options);
+
+  /// Serves one request, including `GET /standin/executions`,
+  /// `GET /standin/summary` and `POST /standin/service?ms=N`. Other requests
+  /// take a slot; the query `fault=late|crossed|cut|double` selects a faulty
+  /// answer.
+  asio::awaitable<void> Handle(Exchange& exchange);
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  struct Execution {
+    std::string request_id;
+    std::string method;
+    std::string path;
+    std::string idempotency_key;
+    bool saw_key = false;  ///< The request had an Authorization header.
+    std::string body_sha256;
+  };
+
+  /// A pause that ends early when the client closes its connection or, for a
+  /// request that waits for a slot, when it is granted one.
+  struct Wait {
+    explicit Wait(asio::io_context& context) : timer(context) {}
+    asio::steady_timer timer;
+    bool granted = false;
+    bool client_gone = false;
+    bool ended = false;  ///< The connection may no longer be used.
+  };
+
+  /// Gives a slot back at the end of its scope.
+  struct Slot {
+    explicit Slot(StandinTarget& target) : target(target) {}
+    ~Slot() { target.ReleaseSlot(); }
+    Slot(const Slot&) = delete;
+    Slot& operator=(const Slot&) = delete;
+    StandinTarget& target;
+  };
+
+  asio::awaitable<void> Control(Exchange& exchange, const std::string& path);
+  asio::awaitable<void> SetServiceTime(Exchange& exchange,
+                                       const std::string& path);
+  [[nodiscard]] nlohmann::json Executions() const;
+  [[nodiscard]] nlohmann::json Summary() const;
+  [[nodiscard]] bool IsCrashRequest(const Request& request) const;
+
+  /// Waits for a slot until `deadline`.
+  /// @return the state of the wait; a granted slot belongs to the caller.
+  asio::awaitable<std::shared_ptr<Wait>> WaitForSlot(
+      Exchange& exchange,
+      Clock::time_point deadline);
+  asio::awaitable<void> WaitUntil(Exchange& exchange,
+                                  std::shared_ptr<Wait> wait,
+                                  Clock::time_point end);
+  void ReleaseSlot();
+
+  /// Runs a request that holds a slot.
+  /// @return the answer, or nothing if the client is gone.
+  asio::awaitable<std::optional<nlohmann::json>> Run(Exchange& exchange,
+                                                     unsigned& status);
+  asio::awaitable<void> Answer(Exchange& exchange,
+                               unsigned status,
+                               nlohmann::json answer,
+                               std::string fault);
+  asio::awaitable<unsigned> CallOnward(Exchange& exchange,
+                                       nlohmann::json& answer);
+  std::chrono::microseconds ServiceTime();
+  const Execution& Record(const Request& request);
+
+  asio::io_context& context_;
+  TargetOptions options_;
+  std::mt19937_64 random_;
+  Clock::time_point start_ = Clock::now();
+  int running_ = 0;
+  std::list<std::shared_ptr<Wait>> waiting_;  ///< In order of arrival.
+  uint64_t executions_ = 0;
+  uint64_t shed_ = 0;
+  uint64_t cancelled_ = 0;
+  uint64_t expired_ = 0;
+  uint64_t saw_key_ = 0;
+  std::deque<Execution> recent_;
+  std::unordered_map<std::string, uint64_t> runs_by_idempotency_key_;
+};
+
+}  // namespace comfreylock::standins
+
+#endif  // COMFREYLOCK_STANDINS_STANDIN_TARGET_H_
