Report a listen error of the target stand-in

asio::detached drops the exception of a coroutine, so a target stand-in whose address was in use ended with 0 and without a message. The exception now leaves the event loop; the program prints it and exits with 1.

Before: not run; seen by reading the code. After: a second instance on the same address printed "bind: Address already in use" and exited with 1.

The stand-in store keeps the old behaviour; it is not part of this change.

--- a/standins/target_main.cc
+++ b/standins/target_main.cc
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <cstdint>
+#include <exception>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -65,13 +66,23 @@
   options.onward_path = absl::GetFlag(FLAGS_onward_path);
   comfreylock::asio::io_context context(1);
   standins::StandinTarget target(context, std::move(options));
+  // asio::detached would drop the error of an address that is in use.
+  auto rethrow = [](std::exception_ptr error) {
+    if (error)
+      std::rethrow_exception(error);
+  };
   comfreylock::asio::co_spawn(
       context,
       standins::Serve(context, absl::GetFlag(FLAGS_address),
                       [&target](standins::Exchange& exchange) {
                         return target.Handle(exchange);
                       }),
-      comfreylock::asio::detached);
-  context.run();
+      rethrow);
+  try {
+    context.run();
+  } catch (const std::exception& error) {
+    std::cerr << "standin-target: " << error.what() << '\n';
+    return 1;
+  }
   return 0;
 }
