Leave unreachable targets at once; keep equal request ids apart

Cause: after two targets had crashed, 2 of 6 reads still failed, because both attempts of a call could go to nodes without a target: such refusals did not count towards ejection. And callers choose request ids: two requests with one id on a host shared the record that onward calls are matched with, so a call of one organisation could run for the other, or was refused as overload. Change: a refusal for want of a target, or a node that cannot be connected to, ejects at the first attempt (within the cap of a third). A target is given an id that is unique on its host; the caller's id stays where it is free.

--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -23,6 +23,9 @@
 /// Longest accepted Idempotency-Key and X-Request-Id, characters.
 inline constexpr size_t kMaxTokenLength = 128;
 
+/// Joins a request id and a number where the id is taken on a host already.
+inline constexpr char kRequestIdMark = '~';
+
 // Reducer.
 /// Interval of Tick events.
 inline constexpr std::chrono::milliseconds kTickInterval = 10ms;
--- a/include/comfreylock/effects.h
+++ b/include/comfreylock/effects.h
@@ -65,6 +65,9 @@
 struct StartWork {
   WorkId work;
   TimePoint deadline;
+  /// The id that the target is given. Unique among the requests that run on
+  /// this host, since onward calls are matched by it.
+  std::string request_id;
 };
 
 /// Refuses the work towards the entry node.
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -126,6 +126,7 @@
     wire::CallContext context;
     TimePoint deadline;
     bool started = false;
+    std::string target_request_id;  ///< What the target was given.
     ChainBudget budget;
     std::set<CallId> onward_calls;  ///< In progress.
     bool downstream_overload = false;
--- a/src/http_peer.cc
+++ b/src/http_peer.cc
@@ -258,7 +258,7 @@
   work->answer = co_await target->RoundTrip(std::move(request));
   auto [echo, echo_end] = work->answer.equal_range("X-Request-Id");
   bool crossed = std::any_of(echo, echo_end, [&](const auto& field) {
-    return field.value() != work->context.request_id();
+    return field.value() != work->start->request_id;
   });
   unsigned status = work->answer.result_int();
   // A success before the end of the upload would acknowledge a part of it.
@@ -381,7 +381,7 @@
   RemovePrivateFields(head);
   head.version(11);
   head.set(http::field::host, target_address_);
-  head.set("X-Request-Id", work.context.request_id());
+  head.set("X-Request-Id", work.start->request_id);
   auto remaining = host_.ToIoDeadline(work.start->deadline) -
                    std::chrono::steady_clock::now();
   auto milliseconds =
--- a/src/reducer_work.cc
+++ b/src/reducer_work.cc
@@ -22,11 +22,6 @@
     Reject(event.work, Reason::kDraining);
     return;
   }
-  if (work_by_request_.contains(event.context.request_id())) {
-    // Onward calls are matched by request id, so ids must be unique here.
-    Reject(event.work, Reason::kOverload);
-    return;
-  }
   const std::string& fingerprint = event.context.fingerprint();
   if (quarantine_.IsQuarantined(fingerprint, now_)) {
     Reject(event.work, Reason::kQuarantined);
@@ -55,8 +50,16 @@
       continue;
     Work& work = found->second;
     work.started = true;
-    work_by_request_[work.context.request_id()] = change.work;
-    effects_.push_back(StartWork{change.work, work.deadline});
+    // Callers choose their request ids, and two of them may choose the same.
+    // Without a mark, onward calls of one would run for the other.
+    work.target_request_id = work.context.request_id();
+    while (work_by_request_.contains(work.target_request_id)) {
+      work.target_request_id +=
+          kRequestIdMark + std::to_string(change.work.value);
+    }
+    work_by_request_[work.target_request_id] = change.work;
+    effects_.push_back(
+        StartWork{change.work, work.deadline, work.target_request_id});
   }
 }
 
@@ -142,7 +145,8 @@
       result == WorkResult::kCompleted || result == WorkResult::kTargetShed;
   if (!answered)
     CancelOnwardCalls(work);
-  work_by_request_.erase(work.context.request_id());
+  if (!work.target_request_id.empty())
+    work_by_request_.erase(work.target_request_id);
   works_.erase(found);
   Apply(admission_->Finish(event.work, result, now_, downstream));
   FinishDrain();
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -32,6 +32,11 @@
   return kind != AttemptKind::kAnswered && kind != AttemptKind::kRefused;
 }
 
+bool RefusedWithoutTarget(AttemptKind kind, const wire::AnswerReport* report) {
+  return kind == AttemptKind::kRefused && report &&
+         report->refusal_reason() == InfoOf(Reason::kNoTarget).name;
+}
+
 bool Contains(std::span<const NodeId> nodes, const NodeId& node) {
   return std::ranges::find(nodes, node) != nodes.end();
 }
@@ -275,7 +280,14 @@
   Service& service = services_.find(target.info.service)->second;
   bool broken = IsBroken(kind) ||
                 (report && kind == AttemptKind::kRefused && report->started());
+  // A node that cannot reach its target, or cannot be reached itself, will not
+  // serve the next request either.
+  bool unreachable =
+      kind == AttemptKind::kNotSent || RefusedWithoutTarget(kind, report);
+  broken = broken || unreachable;
   service.failure_share += kFailureGain * (broken - service.failure_share);
+  if (unreachable)
+    target.failures = std::max(target.failures, kEjectAfter - 1);
   if (broken) {
     NoteFailure(service, target, now);
     return;
--- /dev/null
+++ b/tests/core/reducer_work_test.cc
@@ -0,0 +1,53 @@
+#include <gtest/gtest.h>
+
+#include "fleet_loop.h"
+
+namespace comfreylock {
+namespace {
+
+template <typename T>
+std::vector<T> TakeAll(FleetLoop::Host& host) {
+  std::vector<T> found;
+  for (const auto& effect : host.effects) {
+    if (const auto* wanted = std::get_if<T>(&effect))
+      found.push_back(*wanted);
+  }
+  host.effects.clear();
+  return found;
+}
+
+// Guards against an onward call that runs for another organisation, because
+// two callers chose the same request id.
+TEST(ReducerWorkTest, EqualRequestIdsKeepTheirOrganisations) {
+  FleetLoop loop(3);
+  loop.Add("a");
+  loop.Add("b");
+  loop.Run(3s);
+  loop.hosts["a"].effects.clear();
+  for (const char* organisation : {"kamilla", "bodza"}) {
+    WorkArrived work{WorkId{organisation[0] == 'k' ? 101U : 102U}};
+    work.context.set_request_id("same");
+    work.context.set_organisation(organisation);
+    work.context.set_service("s");
+    work.context.set_remaining_ms(1000);
+    loop.Feed("a", work);
+  }
+  auto started = TakeAll<StartWork>(loop.hosts["a"]);
+  ASSERT_EQ(started.size(), 2u);
+  EXPECT_NE(started[0].request_id, started[1].request_id);
+  for (const auto& start : started) {
+    CallArrived call{CallId{start.work.value}};
+    call.request.method = "GET";
+    call.request.target = "/x";
+    call.request.request_id = start.request_id;
+    call.request.onward = true;
+    loop.Feed("a", call);
+    auto sent = TakeAll<Dispatch>(loop.hosts["a"]);
+    ASSERT_EQ(sent.size(), 1u);
+    EXPECT_EQ(sent[0].context.organisation(),
+              start.work.value == 101U ? "kamilla" : "bodza");
+  }
+}
+
+}  // namespace
+}  // namespace comfreylock
