Reroute attempts that reached no target without spending a retry

Cause: with two crashed targets in one zone, an entry's first attempt and its only retry could both go to nodes without a target. Change: up to two attempts of a call that reached no target are made again outside the retry budget; no target worked for them, so retries of target work stay bounded as before.

--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -53,6 +53,9 @@
 inline constexpr size_t kReportedServices = 8;
 
 // Routing.
+/// Attempts that reached no target and are made again without a retry of the
+/// budget, since no target worked for them.
+inline constexpr uint32_t kFreeReroutes = 2;
 /// Targets of one service that a node sends to.
 inline constexpr size_t kTargetsPerService = 20;
 /// Of these, at least so many are in other zones if there are any.
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -119,6 +119,7 @@
     std::string fingerprint;
     bool suspect = false;  ///< An attempt crashed a target.
     uint32_t crashes = 0;
+    uint32_t reroutes = 0;  ///< Attempts that reached no target.
   };
 
   /// A request at this host's target.
@@ -163,6 +164,9 @@
   double WeightOf(const std::string& organisation) const;
   void LearnFrom(Call& call, const AttemptEnded& event);
   void LearnCrash(Call& call);
+  /// @return whether an attempt that reached no target is made again without
+  /// a retry of the budget.
+  bool MayReroute(Call& call, const AttemptEnded& event) const;
   bool MayRetry(const Call& call, const AttemptEnded& event) const;
   void Retry(Call& call);
   void Abandon(Call& call);
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -221,7 +221,8 @@
   bool ran = event.kind != AttemptKind::kNotSent &&
              (event.kind != AttemptKind::kRefused || event.report.started());
   call.may_have_run = call.may_have_run || ran;
-  if (MayRetry(call, event) && retry_->Pay(call.service, call.budget))
+  if (MayRetry(call, event) &&
+      (MayReroute(call, event) || retry_->Pay(call.service, call.budget)))
     Retry(call);
   else if (answered)
     effects_.push_back(DeliverAnswer{call.id, call.attempt});
@@ -274,6 +275,15 @@
   DispatchCall(call, retry_->Backoff(call.attempt, random_));
 }
 
+bool Node::MayReroute(Call& call, const AttemptEnded& event) const {
+  bool without_target =
+      event.kind == AttemptKind::kRefused && !event.report.started() &&
+      event.report.refusal_reason() == InfoOf(Reason::kNoTarget).name;
+  if (event.kind != AttemptKind::kNotSent && !without_target)
+    return false;
+  return call.reroutes++ < kFreeReroutes;
+}
+
 bool Node::MayRetry(const Call& call, const AttemptEnded& event) const {
   if (call.abandoned || event.body_left || call.crashes >= kMostCrashes)
     return false;
