Show once-only orders, rates, withdrawal, drain and outage in the demo

Cause: the demo showed reads, refusals and an upload only, and control traffic could not be measured on a running node. Change: seven more promises in scripts/demo; the operator's /status gives control messages and bytes, and store calls by kind.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -2,8 +2,12 @@
 
 import json
 import pathlib
+import signal
 import sys
 import tempfile
+import threading
+import time
+import uuid
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import fleetlib  # noqa: E402
@@ -72,6 +76,119 @@
                 "%d, %s of %d bytes" % (status, got, len(body)))
 
 
+def order_key():
+    """A time-ordered UUID (version 7)."""
+    value = (int(time.time() * 1000) << 80) | (uuid.uuid4().int & (1 << 80) - 1)
+    value = value & ~(0xf << 76) | 7 << 76
+    value = value & ~(3 << 62) | 2 << 62
+    return str(uuid.UUID(int=value))
+
+
+def check_once(fleet, table, key):
+    """An order sent through two nodes runs once and is answered alike."""
+    order = order_key()
+    headers = {"Authorization": "Bearer " + key, "Idempotency-Key": order}
+    answers = [request(caller, "POST", "/orders", headers, b"{}")
+               for caller in fleet.any_callers()[:2]]
+    runs = sum(e["idempotency_key"] == order for e in fleet.executions())
+    alike = answers[0][2] == answers[1][2]
+    table.check("a print order sent twice runs once, answered alike",
+                runs == 1 and alike and {a[0] for a in answers} == {200},
+                "%d run, answers %s" % (runs, "alike" if alike else "differ"))
+    status, _, body = request(fleet.any_callers()[2], "POST", "/orders",
+                              headers, b"other")
+    table.check("the same key with another body is refused", status == 409,
+                "%d %s" % (status, json.loads(body)["reason"]))
+
+
+def check_rate(fleet, table):
+    """One organisation floods through all nodes at once."""
+    name = "citromfu"
+    rule = fleet.bundle["organisations"][name]
+    headers = {"Authorization": "Bearer " + fleet.keys[name]}
+    admitted = []
+
+    def flood(caller, end):
+        while time.monotonic() < end:
+            status, _, _ = request(caller, "GET", "/batches/1", headers)
+            if status != 429:
+                admitted.append(status)
+
+    start = time.monotonic()
+    threads = [threading.Thread(target=flood, args=(c, start + 2))
+               for c in fleet.any_callers()]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    bound = rule["rate"] * (time.monotonic() - start) + rule["burst"]
+    table.check("no organisation exceeds its rate and burst",
+                len(admitted) <= bound,
+                "%d admitted by 12 nodes, bound %d" % (len(admitted), bound))
+
+
+def check_withdrawal(fleet, table):
+    """A withdrawn key stops working everywhere."""
+    key = fleet.keys["harsfa"]
+    fleet.bundle["keys"] = [k for k in fleet.bundle["keys"]
+                            if k["organisation"] != "harsfa"]
+    start = time.monotonic()
+    fleet.roll()
+    headers = {"Authorization": "Bearer " + key}
+    fleetlib.wait_until(
+        lambda: all(request(c, "GET", "/proofs/1", headers)[0] == 401
+                    for c in fleet.any_callers()), 10, "the withdrawal")
+    took = time.monotonic() - start
+    table.check("a withdrawn key stops within 3 s on every node", took <= 3,
+                "%.2f s" % took)
+
+
+def check_drain(fleet, table, key):
+    """A node leaves under load and cuts nothing."""
+    leaving = "label-proofs-0"
+    others = [fleet.caller(n) for n in fleet.nodes if n != leaving]
+    statuses = []
+    headers = {"Authorization": "Bearer " + key}
+    end = time.monotonic() + 2
+
+    def read(caller):
+        while time.monotonic() < end:
+            statuses.append(request(caller, "GET", "/proofs/1", headers)[0])
+            time.sleep(0.02)
+
+    threads = [threading.Thread(target=read, args=(c,)) for c in others[:4]]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    fleet.nodes[leaving].signal(signal.SIGTERM)
+    code = fleet.nodes[leaving].wait(10)
+    for thread in threads:
+        thread.join()
+    failed = sum(status != 200 for status in statuses)
+    table.check("a planned stop cuts no request", code == 0 and failed == 0,
+                "%d of %d reads failed, exit code %d" %
+                (failed, len(statuses), code))
+
+
+def check_outage(fleet, table, key):
+    """The store goes away; routes that need no store go on."""
+    request(fleet.store_address, "POST", "/standin/outage?ms=3000")
+    headers = {"Authorization": "Bearer " + key}
+    callers = [fleet.caller(n) for n in fleet.nodes if n != "label-proofs-0"]
+    reads = [request(c, "GET", "/proofs/1", headers)[0] for c in callers]
+    time.sleep(2.5)
+    status, answer, body = request(
+        callers[0], "POST", "/orders",
+        {"Idempotency-Key": order_key(), "X-Deadline-Ms": "300", **headers},
+        b"{}")
+    table.check("reads go on while the store is away",
+                set(reads) == {200}, "%d of %d whole" %
+                (reads.count(200), len(reads)))
+    table.check("an order is refused as not run while it is away",
+                answer["Comfreylock-Outcome"] == "not-run",
+                "%d %s" % (status, json.loads(body).get("reason")))
+
+
 def main():
     table = Table()
     options = {"label-proofs": ["--onward={onward}",
@@ -85,6 +202,11 @@
             check_reads(fleet, table, key)
             check_refusals(fleet, table, key)
             check_upload(fleet, table, key)
+            check_once(fleet, table, key)
+            check_rate(fleet, table)
+            check_withdrawal(fleet, table)
+            check_drain(fleet, table, key)
+            check_outage(fleet, table, key)
     print("%d promises broken" % table.broken)
     return 1 if table.broken else 0
 
--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -269,6 +269,19 @@
                     headers)[0] == 200, seconds,
                     "%s to serve %s" % (name, path))
 
+    def status(self, name):
+        """The status that a node's operator listener gives."""
+        address = self.nodes[name].facts["addresses"]["operator"]
+        return json.loads(request(
+            address, "GET", "/status",
+            {"Authorization": "Bearer " + self.operator_token})[2])
+
+    def control_bytes(self, name):
+        """Control bytes that a node has sent and received, before the headers
+        of ZeroMQ and TCP."""
+        control = self.status(name)["control"]
+        return control["sent_bytes"] + control["received_bytes"]
+
     def executions(self, service=None):
         """All executions recorded by the stand-in targets."""
         found = []
--- a/src/peer_zmq.cc
+++ b/src/peer_zmq.cc
@@ -122,10 +122,12 @@
   std::string data = SealEnvelope(sender_, effect.message, secret_);
   try {
     zmq::socket_t& socket = SocketFor(effect.control_address);
-    if (socket.send(zmq::buffer(data), zmq::send_flags::dontwait))
+    if (socket.send(zmq::buffer(data), zmq::send_flags::dontwait)) {
       ++sent_;
-    else
+      sent_bytes_ += data.size();
+    } else {
       ++send_queue_full_;
+    }
   } catch (const zmq::error_t&) {
     // The address is malformed, or the process is out of sockets.
     ++send_queue_full_;
@@ -133,8 +135,15 @@
 }
 
 PeerZmq::Counters PeerZmq::counters() const {
-  return {sent_, received_, send_queue_full_, receive_queue_full_,
-          not_authentic_};
+  Counters counters;
+  counters.sent = sent_;
+  counters.sent_bytes = sent_bytes_;
+  counters.received = received_;
+  counters.received_bytes = received_bytes_;
+  counters.send_queue_full = send_queue_full_;
+  counters.receive_queue_full = receive_queue_full_;
+  counters.not_authentic = not_authentic_;
+  return counters;
 }
 
 zmq::socket_t& PeerZmq::SocketFor(const std::string& address) {
@@ -199,6 +208,7 @@
     return;
   }
   ++received_;
+  received_bytes_ += data.size();
   ++*pending_;
   boost::asio::post(executor_, [this, pending = pending_, stopped = stopped_,
                                 message = std::move(*received)]() mutable {
--- a/src/peer_zmq.h
+++ b/src/peer_zmq.h
@@ -46,10 +46,12 @@
   /// Sockets open for sending at a time; the least recently used is closed.
   static constexpr size_t kMaxPeers = 64;
 
-  /// Messages dropped since start, by cause.
+  /// Messages since start: passed on, and dropped by cause.
   struct Counters {
     uint64_t sent = 0;
+    uint64_t sent_bytes = 0;
     uint64_t received = 0;
+    uint64_t received_bytes = 0;
     uint64_t send_queue_full = 0;
     uint64_t receive_queue_full = 0;
     uint64_t not_authentic = 0;
@@ -98,8 +100,10 @@
   std::shared_ptr<std::atomic<size_t>> pending_;
   std::shared_ptr<std::atomic<bool>> stopped_;
   uint64_t sent_ = 0;
+  uint64_t sent_bytes_ = 0;
   uint64_t send_queue_full_ = 0;
   std::atomic<uint64_t> received_{0};
+  std::atomic<uint64_t> received_bytes_{0};
   std::atomic<uint64_t> receive_queue_full_{0};
   std::atomic<uint64_t> not_authentic_{0};
   std::thread receiver_;
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -96,6 +96,8 @@
 
 std::string Shell::StatusJson() const {
   NodeStatus status = node_->status();
+  PeerZmq::Counters control = control_.counters();
+  const EtcdStore::Counters& store = store_.counters();
   nlohmann::json document = {
       {"node", settings_.node},
       {"zone", settings_.zone},
@@ -108,7 +110,21 @@
       {"limit", status.limit},
       {"shed_level", status.shed_level},
       {"draining", status.draining},
-      {"store", status.store_reached ? "reached" : "away"}};
+      {"store", status.store_reached ? "reached" : "away"},
+      {"control",
+       {{"sent", control.sent},
+        {"sent_bytes", control.sent_bytes},
+        {"received", control.received},
+        {"received_bytes", control.received_bytes},
+        {"dropped", control.send_queue_full + control.receive_queue_full},
+        {"not_authentic", control.not_authentic}}},
+      {"store_calls",
+       {{"reads", store.reads},
+        {"transactions", store.transactions},
+        {"lease_calls", store.lease_calls},
+        {"watches", store.watches},
+        {"failures", store.failures},
+        {"over_budget", store.over_budget}}}};
   return document.dump();
 }
 
