Refuse at the entry what services below cannot carry; judge limits sooner

Cause: where all calls have one priority, a shed level refuses all or nothing, so services up the chain worked for calls that the deepest one shed. The limit of a target with few slots needed 32 answers a step, and stayed too low for seconds when the target became slow for reasons of its own. Change: EntryThrottle lets through the share of calls of each service and importance that ends without an overload; the limit is judged after twice its value in answers, at least 8. The idle scenario waits until the readiness probes' demand has gone.

--- a/include/comfreylock/concurrency_limit.h
+++ b/include/comfreylock/concurrency_limit.h
@@ -40,6 +40,7 @@
   uint32_t Value(TimePoint now) const;
 
  private:
+  size_t WindowSamples() const;
   void CloseWindow(TimePoint now);
   void RefreshBaseline(double median, TimePoint now);
   void Increase();
--- a/include/comfreylock/config.h
+++ b/include/comfreylock/config.h
@@ -33,8 +33,11 @@
 inline constexpr uint32_t kImportanceClasses = 4;
 
 // Admission and shedding.
-/// Answers needed before the limit of a target is judged.
+/// Answers needed before the limit of a target is judged: twice the limit
+/// within these bounds. A target with few slots gives few answers, and a wrong
+/// decrease must be noticed within a second.
 inline constexpr uint32_t kLimitWindowSamples = 32;
+inline constexpr uint32_t kLeastLimitWindowSamples = 8;
 /// Steps of shed priority within one importance.
 inline constexpr uint32_t kShedSteps = 8;
 /// Highest shed level; priority 0 is never refused by level.
@@ -52,6 +55,20 @@
 /// Services further down whose levels a report carries.
 inline constexpr size_t kReportedServices = 8;
 
+// Throttle at the entry.
+/// Window over which the overloaded share of ended calls is judged.
+inline constexpr std::chrono::milliseconds kThrottleWindow = 100ms;
+/// Windows without news after which nothing is throttled any more.
+inline constexpr int kThrottleMemory = 20;
+/// Overloaded share that is taken for chance.
+inline constexpr double kThrottleTolerance = 0.02;
+/// Part of the overloaded share by which the admitted share falls.
+inline constexpr double kThrottleGain = 0.5;
+inline constexpr double kThrottleLeastShare = 0.02;
+/// Rise of the admitted share in the first window without overload.
+inline constexpr double kThrottleFirstStep = 0.005;
+inline constexpr double kThrottleLargestStep = 0.25;
+
 // Routing.
 /// Attempts that reached no target and are made again without a retry of the
 /// budget, since no target worked for them.
--- a/include/comfreylock/reducer.h
+++ b/include/comfreylock/reducer.h
@@ -26,6 +26,7 @@
 #include "comfreylock/retry.h"
 #include "comfreylock/routing.h"
 #include "comfreylock/shedding.h"
+#include "comfreylock/throttle.h"
 #include "comfreylock/types.h"
 
 /// The reducer: all decisions of one node, as a function from events to
@@ -158,6 +159,8 @@
   void DispatchCall(Call& call, std::chrono::milliseconds delay);
   /// @return why the call is refused before any work is spent on it.
   Reason EarlyRefusal(Call& call);
+  /// Tells the throttle how a call that was let through ended.
+  void CountForThrottle(const Call& call, bool overloaded);
   bool IsShed(const Call& call);
   /// @return the level of `service` as its targets or others reported it.
   uint32_t ShedLevelOf(std::string_view service) const;
@@ -333,6 +336,7 @@
   std::unique_ptr<Admission> admission_;
   Router router_;
   std::unique_ptr<RetryPolicy> retry_;
+  EntryThrottle throttle_;
   ShedTable shed_;
   std::map<std::string, ShareMeter, std::less<>> demand_;  ///< By service.
   Quarantine quarantine_;
--- a/programs/ctl_main.cc
+++ b/programs/ctl_main.cc
@@ -94,6 +94,12 @@
 }
 
 void Run(int argc, char** argv) {
+  for (int i = 1; i < argc; ++i) {
+    if (std::string_view(argv[i]) == "--help") {
+      std::cout << absl::ProgramUsageMessage() << "\n";
+      return;
+    }
+  }
   auto arguments = CheckedArguments(argc, argv);
   std::vector<char*> pointers;
   for (auto& argument : arguments)
--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import secrets
 import signal
@@ -35,17 +36,26 @@
                              lambda found: found.group(1) or "", text))
 
 
+# Addresses that this process has handed out.
+_GIVEN = set()
+
+
 def free_addresses(count):
-    """Returns `count` loopback addresses that are free at this moment."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        sockets.append(probe)
-    addresses = ["127.0.0.1:%d" % s.getsockname()[1] for s in sockets]
-    for probe in sockets:
-        probe.close()
-    return addresses
+    """Returns `count` loopback addresses that are free at this moment, below
+    the ports that the kernel gives to outgoing connections."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        address = "127.0.0.1:%d" % port
+        if address not in _GIVEN:
+            _GIVEN.add(address)
+            found.append(address)
+    return found
 
 
 def request(address, method, path, headers=None, body=None, timeout=10.0):
--- a/scripts/scenarios_fleet.py
+++ b/scripts/scenarios_fleet.py
@@ -333,6 +333,8 @@
                    [route("read", "/proofs", "label-proofs",
                           methods=["GET"])],
                    {"kamilla": organisation()})) as fleet:
+        # The readiness probes above are demand; shares settle after them.
+        time.sleep(12)
         share, memory, rate = idle_figures(fleet, 15)
     figures.add("core_share_percent", share, "%", "<= 3.9")
     figures.add("resident_mb", memory, "MB", "<= 256")
--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -77,13 +77,18 @@
                                                 round_trip, kShortestWindow);
   // A target that sheds all gives no latencies.
   bool sheds = sheds_ > kShedShare * answers_;
-  if (long_enough && (samples_.size() >= kLimitWindowSamples || sheds))
+  if (long_enough && (samples_.size() >= WindowSamples() || sheds))
     CloseWindow(now);
 }
 
+size_t ConcurrencyLimit::WindowSamples() const {
+  return std::clamp(static_cast<uint32_t>(2 * limit_), kLeastLimitWindowSamples,
+                    kLimitWindowSamples);
+}
+
 void ConcurrencyLimit::CloseWindow(TimePoint now) {
   bool slow = false;
-  if (samples_.size() >= kLimitWindowSamples) {
+  if (samples_.size() >= WindowSamples()) {
     auto middle =
         samples_.begin() + static_cast<std::ptrdiff_t>(samples_.size() / 2);
     std::nth_element(samples_.begin(), middle, samples_.end());
--- a/src/reducer_calls.cc
+++ b/src/reducer_calls.cc
@@ -16,11 +16,13 @@
 /// What distinguishes the policies at the entry.
 struct EntryRules {
   bool fingerprints = true;  ///< Requests that crash targets are quarantined.
+  bool throttles = true;     ///< Calls that end overloaded are refused early.
 };
 
 const EntryRules& RulesOf(Policy policy) {
   static constexpr EntryRules kStandardRules;
-  static constexpr EntryRules kNaiveRules{.fingerprints = false};
+  static constexpr EntryRules kNaiveRules{.fingerprints = false,
+                                          .throttles = false};
   return policy == Policy::kNaive ? kNaiveRules : kStandardRules;
 }
 
@@ -142,7 +144,18 @@
   auto rule = bundle_->services.find(call.service);
   for (const auto& needed : rule->second.calls)
     level = std::max(level, shed_.ReportedLevelOf(needed, now_));
-  return shed_.Refuse(call.service, level, priority, now_);
+  if (shed_.Refuse(call.service, level, priority, now_))
+    return true;
+  // Onward calls are let through: work was done for them already.
+  if (call.request.onward || !RulesOf(identity_.policy).throttles)
+    return false;
+  double random = std::uniform_real_distribution<double>(0, 1)(random_);
+  return !throttle_.Admit(call.service, call.importance, random, now_);
+}
+
+void Node::CountForThrottle(const Call& call, bool overloaded) {
+  if (!call.request.onward && !call.abandoned)
+    throttle_.OnEnded(call.service, call.importance, overloaded, now_);
 }
 
 uint32_t Node::ShedLevelOf(std::string_view service) const {
@@ -215,6 +228,7 @@
   bool overloaded = answered && event.status == kServiceUnavailable;
   if (answered && !(overloaded && retry_->RetriesOverload())) {
     RecordAnswer(call, event);
+    CountForThrottle(call, overloaded);
     effects_.push_back(DeliverAnswer{call.id, call.attempt});
     return;
   }
@@ -306,6 +320,8 @@
     reason = Reason::kBadAnswer;
   if (event.kind == AttemptKind::kNotSent)
     reason = Reason::kNoTarget;
+  CountForThrottle(call,
+                   reason == Reason::kOverload || reason == Reason::kDeadline);
   Refuse(call, reason,
          call.may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
 }
