Share the time left of a deadline and the key prefix of members

Cause: the entry and the target's node each computed the milliseconds left of a deadline, and two parts of the reducer each spelled the store's member prefix. Change: TimeLeft in peer_context and kMembersPrefix in store_keys.h serve both. Conclusion: two places less to keep in step.

--- a/src/http_edge.cc
+++ b/src/http_edge.cc
@@ -679,12 +679,8 @@
     head.set(http::field::host, dispatch.address);
   head.set("X-Request-Id", call.request_id);
   wire::CallContext context = dispatch.context;
-  auto remaining =
-      host_.ToIoDeadline(dispatch.deadline) - std::chrono::steady_clock::now();
-  auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
   context.set_remaining_ms(
-      static_cast<uint32_t>(std::max<int64_t>(milliseconds, 0)));
+      static_cast<uint32_t>(TimeLeft(host_, dispatch.deadline).count()));
   SetContext(head, context, host_);
   if (call.complete) {
     if (HasBody(*call.parser) || head.count(http::field::content_length))
--- a/src/http_peer.cc
+++ b/src/http_peer.cc
@@ -382,11 +382,8 @@
   head.version(11);
   head.set(http::field::host, target_address_);
   head.set("X-Request-Id", work.start->request_id);
-  auto remaining = host_.ToIoDeadline(work.start->deadline) -
-                   std::chrono::steady_clock::now();
-  auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-  head.set("X-Deadline-Ms", std::to_string(std::max<int64_t>(milliseconds, 0)));
+  head.set("X-Deadline-Ms",
+           std::to_string(TimeLeft(host_, work.start->deadline).count()));
   if (framed)
     SetFraming(head, length);
   return head;
--- a/src/peer_context.cc
+++ b/src/peer_context.cc
@@ -1,5 +1,7 @@
 #include "peer_context.h"
 
+#include <algorithm>
+
 #include "crypto.h"
 
 namespace comfreylock {
@@ -45,4 +47,10 @@
   return report;
 }
 
+std::chrono::milliseconds TimeLeft(const NodeHost& host, TimePoint deadline) {
+  auto left = host.ToIoDeadline(deadline) - std::chrono::steady_clock::now();
+  return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(left),
+                  std::chrono::milliseconds(0));
+}
+
 }  // namespace comfreylock
--- a/src/peer_context.h
+++ b/src/peer_context.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYLOCK_PEER_CONTEXT_H_
 #define COMFREYLOCK_PEER_CONTEXT_H_
 
+#include <chrono>
 #include <optional>
 
 #include "node_host.h"
@@ -23,6 +24,9 @@
 /// @return the report; empty if there is none.
 wire::AnswerReport ReadReport(const http::fields& fields);
 
+/// @return the time left until `deadline`, at least 0.
+std::chrono::milliseconds TimeLeft(const NodeHost& host, TimePoint deadline);
+
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_PEER_CONTEXT_H_
--- a/src/reducer_fleet.cc
+++ b/src/reducer_fleet.cc
@@ -3,12 +3,12 @@
 
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
+#include "store_keys.h"
 
 /// Store, members and shutdown.
 namespace comfreylock {
 namespace {
 
-constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to reach the store.
 constexpr std::chrono::milliseconds kStoreRetry = 500ms;
 /// How often a read that failed is repeated before its asker is told, and the
--- a/src/reducer_rate.cc
+++ b/src/reducer_rate.cc
@@ -3,13 +3,13 @@
 
 #include "comfreylock/config.h"
 #include "comfreylock/reducer.h"
+#include "store_keys.h"
 
 /// Rate shares: tokens for calls from outside, and the allocators of the
 /// partitions that this node owns.
 namespace comfreylock {
 namespace {
 
-constexpr std::string_view kMembersPrefix = "/comfreylock/members/";
 /// Pause between attempts to read the member list after a takeover.
 constexpr std::chrono::milliseconds kMemberReadRetry = 500ms;
 
