--- a/include/comfreylock/store.h
+++ b/include/comfreylock/store.h
@@ -74,6 +74,8 @@
   std::string key;
   std::string range_end;
   int64_t start_revision = 0;
+  /// If set, a result without changes is given at least this often.
+  std::chrono::milliseconds progress_interval{0};
 };
 
 struct StoreCancelWatch {
@@ -113,6 +115,9 @@
   std::vector<StoreChange> changes;
   int64_t revision = 0;
   int64_t compacted_revision = 0;  ///< Not 0: re-read, then watch again.
+  /// The result holds every change that was made before this time; not set by
+  /// stores whose watches do not tell.
+  TimePoint complete_until;
 };
 
 /// The request failed. `maybe_done` tells that a write may have taken effect.
--- /dev/null
+++ b/src/mesh/fleet_config.h
@@ -0,0 +1,77 @@
+#ifndef COMFREYLOCK_MESH_FLEET_CONFIG_H_
+#define COMFREYLOCK_MESH_FLEET_CONFIG_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// The operators' decisions as a mesh node uses them.
+namespace comfreylock::mesh {
+
+/// A service and its part of a route's requests.
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+};
+
+/// How requests whose path begins with `prefix` are treated.
+struct Route {
+  std::string name;
+  std::string prefix;  ///< Begins and ends with a slash.
+  std::vector<WeightedService> services;
+  bool idempotent = false;
+  bool open = false;        ///< Served without a key.
+  uint32_t importance = 2;  ///< 0 is the most important.
+  uint32_t max_attempts = 1;
+  std::chrono::milliseconds timeout{0};  ///< 0: none.
+  std::chrono::milliseconds target_latency{1000};
+};
+
+/// What one organisation may send, over all nodes.
+struct OrganisationLimits {
+  std::string name;
+  std::optional<uint32_t> importance;  ///< Goes before the route's.
+  double rate = 0;                     ///< Requests per second; 0: no limit.
+  double burst = 0;                    ///< Requests.
+};
+
+/// Limits of the HTTP listener for callers.
+struct CallerLimits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 64 * 1024 * 1024;
+  std::chrono::milliseconds header_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+/// One version of the operators' configuration, checked.
+struct FleetConfig {
+  uint64_t version = 0;
+  /// Routes of each host name, longest prefix first.
+  std::map<std::string, std::vector<Route>, std::less<>> hosts;
+  std::map<std::string, OrganisationLimits, std::less<>> organisations;
+  /// Name of the organisation that holds each key.
+  std::unordered_map<std::string, std::string> keys;
+  std::set<std::string, std::less<>> services;
+  CallerLimits limits;
+
+  /// @param host without port, lower case.
+  /// @param path may have a query.
+  /// @return the route with the longest matching prefix, or null.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
+  /// @return the organisation that holds `key`, or null.
+  const OrganisationLimits* FindOrganisation(const std::string& key) const;
+
+  /// Puts the routes of each host in the order that `FindRoute` needs.
+  void SortRoutes();
+};
+
+}  // namespace comfreylock::mesh
+
+#endif  // COMFREYLOCK_MESH_FLEET_CONFIG_H_
--- /dev/null
+++ b/src/mesh/http_types.cc
@@ -0,0 +1,121 @@
+#include "mesh/http_types.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace comfreylock::mesh {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+void AppendFields(std::string& text, const Fields& fields) {
+  for (const auto& [name, value] : fields) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+}
+
+}  // namespace
+
+bool SameName(std::string_view a, std::string_view b) {
+  return beast::iequals(a, b);
+}
+
+std::optional<std::string_view> FindField(const Fields& fields,
+                                          std::string_view name) {
+  for (const auto& [field, value] : fields) {
+    if (SameName(field, name))
+      return value;
+  }
+  return std::nullopt;
+}
+
+void RemoveConnectionFields(Fields& fields) {
+  static const std::array<std::string_view, 10> kNames = {
+      "connection", "keep-alive",         "proxy-connection", "te",
+      "trailer",    "transfer-encoding",  "upgrade",          "content-length",
+      "expect",     "proxy-authorization"};
+  // Fields that Connection names are for this connection too.
+  std::string named;
+  for (const auto& [name, value] : fields) {
+    if (SameName(name, "connection"))
+      named += "," + value;
+  }
+  std::erase_if(fields, [&named](const auto& field) {
+    bool listed = std::ranges::any_of(kNames, [&field](std::string_view name) {
+      return SameName(field.first, name);
+    });
+    if (listed || named.empty())
+      return listed;
+    std::string_view rest = named;
+    while (!rest.empty()) {
+      size_t comma = rest.find(',');
+      std::string_view item = rest.substr(0, comma);
+      while (item.starts_with(' '))
+        item.remove_prefix(1);
+      while (item.ends_with(' '))
+        item.remove_suffix(1);
+      if (SameName(field.first, item))
+        return true;
+      if (comma == std::string_view::npos)
+        break;
+      rest.remove_prefix(comma + 1);
+    }
+    return false;
+  });
+}
+
+std::string Serialize(const HttpRequest& request) {
+  std::string text;
+  text.reserve(512 + request.body.size());
+  text += request.method;
+  text += ' ';
+  text += request.target;
+  text += " HTTP/1.1\r\n";
+  AppendFields(text, request.fields);
+  if (request.has_body) {
+    text += "Content-Length: ";
+    text += std::to_string(request.body.size());
+    text += "\r\n";
+  }
+  text += "\r\n";
+  text += request.body;
+  return text;
+}
+
+std::string Serialize(const HttpAnswer& answer, bool bodiless) {
+  std::string text;
+  text.reserve(256 + answer.body.size());
+  text += "HTTP/1.1 ";
+  text += std::to_string(answer.status);
+  text += ' ';
+  if (answer.status_text.empty())
+    text += beast::http::obsolete_reason(
+        beast::http::int_to_status(static_cast<unsigned>(answer.status)));
+  else
+    text += answer.status_text;
+  text += "\r\n";
+  AppendFields(text, answer.fields);
+  bool no_body = answer.status == kNoContent || answer.status == kNotModified;
+  if (!no_body && !(bodiless && answer.body.empty())) {
+    text += "Content-Length: ";
+    text += std::to_string(answer.body.size());
+    text += "\r\n";
+  }
+  if (answer.close)
+    text += "Connection: close\r\n";
+  text += "\r\n";
+  if (!no_body && !bodiless)
+    text += answer.body;
+  return text;
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/link_hub.h
@@ -0,0 +1,57 @@
+#ifndef COMFREYLOCK_MESH_LINK_HUB_H_
+#define COMFREYLOCK_MESH_LINK_HUB_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "mesh/events.h"
+
+/// Connections between nodes: frames with a length before each.
+namespace comfreylock::mesh {
+
+namespace asio = boost::asio;
+
+class LinkHub {
+ public:
+  using Feed = std::function<void(EventBody)>;
+
+  /// @param hello sent first on each connection.
+  LinkHub(asio::io_context& context, wire::Hello hello, Feed feed);
+  ~LinkHub();
+
+  /// @param address IP:PORT. @throws std::exception if it cannot be bound.
+  void Listen(const std::string& address);
+
+  // Effects of the reducer.
+  void Apply(const OpenLink& effect);
+  void Apply(const CloseLink& effect);
+  void Apply(const SendFrame& effect);
+  void Apply(const SendForward& effect);
+
+  uint64_t sent_bytes() const { return sent_bytes_; }
+  uint64_t received_bytes() const { return received_bytes_; }
+
+ private:
+  class Connection;
+
+  void Accept();
+  std::shared_ptr<Connection> Find(LinkId link);
+
+  asio::io_context& context_;
+  wire::Hello hello_;
+  Feed feed_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::map<LinkId, std::shared_ptr<Connection>> links_;
+  uint64_t last_accepted_ = 0;
+  uint64_t sent_bytes_ = 0;
+  uint64_t received_bytes_ = 0;
+};
+
+}  // namespace comfreylock::mesh
+
+#endif  // COMFREYLOCK_MESH_LINK_HUB_H_
--- /dev/null
+++ b/src/mesh/metrics.cc
@@ -0,0 +1,77 @@
+#include "mesh/metrics.h"
+
+namespace comfreylock::mesh {
+
+Metrics::Histogram& Metrics::SeriesOf(Histograms& histograms,
+                                      const std::string& name) {
+  auto found = histograms.find(name);
+  if (found != histograms.end())
+    return found->second;
+  return histograms[histograms.size() < kMostSeries ? name : "other"];
+}
+
+void Metrics::Add(Histogram& histogram, double milliseconds) {
+  ++histogram.total;
+  histogram.sum_ms += milliseconds;
+  for (size_t i = 0; i < kBuckets.size(); ++i) {
+    if (milliseconds <= kBuckets[i])
+      ++histogram.counts[i];
+  }
+}
+
+void Metrics::CountAnswer(const std::string& route,
+                          const std::string& organisation,
+                          const std::string& result,
+                          std::chrono::microseconds latency) {
+  ++answers_[result];
+  double ms = std::chrono::duration<double, std::milli>(latency).count();
+  Add(SeriesOf(by_route_, route), ms);
+  Add(SeriesOf(by_organisation_, organisation), ms);
+}
+
+void Metrics::Print(std::string& text,
+                    const Histograms& histograms,
+                    const std::string& name,
+                    const std::string& label) {
+  for (const auto& [value, histogram] : histograms) {
+    std::string labels = label + "=\"" + value + "\"";
+    for (size_t i = 0; i < kBuckets.size(); ++i) {
+      text += name + "_bucket{" + labels + ",le=\"" +
+              std::to_string(kBuckets[i]) + "\"} " +
+              std::to_string(histogram.counts[i]) + "\n";
+    }
+    text += name + "_bucket{" + labels + ",le=\"+Inf\"} " +
+            std::to_string(histogram.total) + "\n";
+    text += name + "_sum{" + labels + "} " + std::to_string(histogram.sum_ms) +
+            "\n";
+    text += name + "_count{" + labels + "} " + std::to_string(histogram.total) +
+            "\n";
+  }
+}
+
+std::string Metrics::Text(const NodeStatus& status) const {
+  std::string text;
+  auto gauge = [&text](const std::string& name, uint64_t value) {
+    text += "comfreylock_" + name + " " + std::to_string(value) + "\n";
+  };
+  gauge("config_version", status.config_version);
+  gauge("config_age_ms", static_cast<uint64_t>(status.config_age.count()));
+  gauge("ready", status.ready ? 1 : 0);
+  gauge("stopping", status.stopping ? 1 : 0);
+  gauge("calls", status.calls);
+  gauge("members", status.members);
+  gauge("links", status.links);
+  gauge("target_slots", status.slots);
+  gauge("target_in_flight", status.in_flight);
+  gauge("target_queued", status.queued);
+  for (const auto& [result, count] : answers_) {
+    text += "comfreylock_answers_total{result=\"" + result + "\"} " +
+            std::to_string(count) + "\n";
+  }
+  Print(text, by_route_, "comfreylock_route_latency_ms", "route");
+  Print(text, by_organisation_, "comfreylock_organisation_latency_ms",
+        "organisation");
+  return text;
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/node.cc
@@ -0,0 +1,146 @@
+#include "mesh/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreylock::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longest time without `TimePassed`.
+constexpr milliseconds kIdleTick = 100ms;
+/// Interval while requests wait beside the target.
+constexpr milliseconds kQueueTick = 20ms;
+/// A stopping node exits once no caller has sent anything for this time:
+/// clients stop after two failed readiness checks, one second apart.
+constexpr milliseconds kQuietBeforeStop = 2500ms;
+/// Before the end of the grace time, what is left for closing connections.
+constexpr milliseconds kStopMargin = 700ms;
+/// Part of the time for withdrawn keys within which a node without news still
+/// calls itself ready.
+constexpr double kReadyPart = 0.8;
+
+}  // namespace
+
+Node::Node(NodeIdentity identity, TimePoint now)
+    : identity_(std::move(identity)),
+      random_(identity_.seed),
+      now_(now),
+      started_(now),
+      config_confirmed_(now),
+      placement_(identity_.zone, identity_.seed + 1),
+      retries_(identity_.bounds.retry),
+      quarantine_(identity_.node, identity_.boot),
+      last_pass_(now) {
+  placement_.SetNode(identity_.node, identity_.service, identity_.zone);
+}
+
+Node::~Node() = default;
+
+Effects Node::Reduce(const Event& event) {
+  now_ = std::max(now_, event.time);
+  effects_.clear();
+  std::visit([this](const auto& body) { On(body); }, event.body);
+  return std::exchange(effects_, {});
+}
+
+TimePoint Node::NextWake() const {
+  TimePoint wake = last_pass_ + (queue_.queued() > 0 ? kQueueTick : kIdleTick);
+  if (!call_deadlines_.empty())
+    wake = std::min(wake, call_deadlines_.begin()->first);
+  return wake;
+}
+
+void Node::Reconfigure(const NodeBounds& bounds, const std::string& service) {
+  identity_.bounds = bounds;
+  identity_.service = service;
+  retries_.SetBound(bounds.retry);
+}
+
+NodeStatus Node::StatusAt(TimePoint now) const {
+  NodeStatus status;
+  status.config_version = config_ ? config_->version : 0;
+  status.config_age =
+      std::chrono::duration_cast<milliseconds>(now - config_confirmed_);
+  status.in_flight = queue_.in_flight();
+  status.queued = queue_.queued();
+  status.slots = queue_.slots();
+  status.calls = calls_.size();
+  status.members = members_.size();
+  status.links = links_.size();
+  status.stopping = stopping_;
+  auto limit = identity_.bounds.key_withdrawal * kReadyPart;
+  status.ready =
+      config_ && !stopping_ && reads_.done && now - config_confirmed_ < limit;
+  return status;
+}
+
+void Node::On(const TimePassed& /*event*/) {
+  bool fresh = ConfigFresh();
+  if (config_ && fresh != config_was_fresh_) {
+    config_was_fresh_ = fresh;
+    LogLine(fresh ? LogCode::kConfigConfirmed : LogCode::kConfigUnconfirmed,
+            {{"version", std::to_string(config_->version)},
+             {"age_ms", ConfigAge()}});
+  }
+  AdvanceRecord();
+  AdvanceMembers();
+  CloseSilentLinks();
+  ConnectMembers();
+  AdvanceTarget();
+  Apply(queue_.Advance(now_));
+  ExpireCalls();
+  ReportDemand();
+  TellLoad();
+  quarantine_.Expire(now_);
+  last_pass_ = now_;
+  if (!stopping_ || stopped_)
+    return;
+  bool quiet = calls_.empty() && works_.empty() &&
+               now_ - std::max(last_call_, stop_since_) >= kQuietBeforeStop;
+  if (quiet || now_ - stop_since_ >= identity_.bounds.grace - kStopMargin) {
+    stopped_ = true;
+    LogLine(LogCode::kNodeStopped, {{"calls", std::to_string(calls_.size())}});
+    effects_.push_back(Stop{});
+  }
+}
+
+void Node::On(const ShutdownRequested& /*event*/) {
+  if (std::exchange(stopping_, true))
+    return;
+  stop_since_ = now_;
+  LogLine(LogCode::kNodeDraining, {{"calls", std::to_string(calls_.size())},
+                                   {"works", std::to_string(works_.size())}});
+  TellLoad();
+  if (record_.lease != 0) {
+    Ask(StoreLeaseRevoke{record_.lease}, [](const StoreResult&) {});
+    record_ = {};
+  }
+}
+
+void Node::On(const ConfigRead& event) {
+  config_confirmed_ = std::max(config_confirmed_, event.confirmed);
+  if (!event.config || (config_ && event.config->version <= config_->version))
+    return;
+  config_ = event.config;
+  split_credit_.clear();
+  LogLine(
+      LogCode::kConfigInForce,
+      {{"version", std::to_string(config_->version)}, {"age_ms", ConfigAge()}});
+}
+
+void Node::LogLine(LogCode code,
+                   std::vector<std::pair<std::string, std::string>> fields) {
+  effects_.push_back(WriteLine{code, std::move(fields)});
+}
+
+std::string Node::ConfigAge() const {
+  if (!config_)
+    return "none";
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(now_ - config_confirmed_)
+          .count());
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/node_calls.cc
@@ -0,0 +1,334 @@
+#include <algorithm>
+#include <utility>
+
+#include "mesh/node.h"
+
+/// Decisions about callers' requests at the node where they arrive.
+namespace comfreylock::mesh {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Deadline of a caller that gives none.
+constexpr milliseconds kDefaultDeadline = 10s;
+/// Time before the withdrawal bound at which keys are no longer trusted, for
+/// timers that fire late.
+constexpr milliseconds kWithdrawalMargin = 300ms;
+/// A node that has not heard from the store for this time does not refuse a key
+/// or route for good: it may have missed one that was added.
+constexpr milliseconds kDefiniteAge = 1800ms;
+/// Nodes that may refuse one request before it is refused to the caller.
+constexpr size_t kMostPlacements = 4;
+/// Bounds of the hint to refused callers.
+constexpr milliseconds kShortestHint = 100ms;
+constexpr milliseconds kLongestHint = 2000ms;
+/// Hint while nothing is known of when the cause ends.
+constexpr milliseconds kUnknownHint = 500ms;
+/// Time before the deadline at which the answer must be on its way.
+constexpr milliseconds kAnswerMargin = 5ms;
+/// Part of the time left that the expected wait and service may take.
+constexpr double kUsableTime = 0.9;
+constexpr int kServerError = 500;
+
+}  // namespace
+
+void Node::On(const RequestArrived& event) {
+  last_call_ = now_;
+  Call call;
+  call.id = event.call;
+  call.forward = event.request.forward;
+  call.arrived = now_;
+  Reason reason = Classify(call, event.request);
+  if (reason != Reason::kNone) {
+    Refuse(call, reason, kUnknownHint);
+    return;
+  }
+  if (IsQuarantined(*call.forward)) {
+    Refuse(call, Reason::kQuarantined, milliseconds(0));
+    return;
+  }
+  if (!call.organisation.empty()) {
+    const OrganisationLimits& limits =
+        config_->organisations.find(call.organisation)->second;
+    microseconds wait = rate_share_.Take(limits, NodeCount(), now_);
+    if (wait.count() > 0) {
+      Refuse(call, Reason::kOverRate, SpreadRetryAfter(wait));
+      return;
+    }
+  }
+  retries_.CountRequest(call.service, now_);
+  Call& stored = calls_[call.id] = std::move(call);
+  call_deadlines_.insert({stored.deadline, stored.id});
+  Place(stored);
+}
+
+Reason Node::Classify(Call& call, const CallerRequest& request) {
+  if (!config_)
+    return Reason::kNoBundle;
+  bool definite = now_ - config_confirmed_ < kDefiniteAge;
+  wire::Forward& forward = *call.forward;
+  const Route* route = config_->FindRoute(request.host, forward.path());
+  if (!route)
+    return definite ? Reason::kNoRoute : Reason::kIsolated;
+  uint32_t importance = route->importance;
+  if (!route->open) {
+    if (!ConfigFresh())
+      return Reason::kIsolated;
+    const OrganisationLimits* organisation =
+        config_->FindOrganisation(request.key);
+    if (!organisation && !definite)
+      return Reason::kIsolated;
+    if (!organisation)
+      return request.key.empty() ? Reason::kKeyMissing : Reason::kKeyUnknown;
+    call.organisation = organisation->name;
+    importance = organisation->importance.value_or(importance);
+  }
+  milliseconds left = request.deadline.value_or(kDefaultDeadline);
+  if (route->timeout.count() > 0)
+    left = std::min(left, route->timeout);
+  call.deadline = now_ + left - std::min(kAnswerMargin, left);
+  call.useful_until = std::min(call.deadline, now_ + route->target_latency);
+  call.service = PickService(*route);
+  call.max_attempts = std::max(route->max_attempts, 1u);
+  // Requests without a key are mostly calls of running requests, whose targets
+  // already hold a slot for them: they go first, and are useful to the end.
+  if (route->open) {
+    importance = 0;
+    call.useful_until = call.deadline;
+  } else {
+    importance += 1;
+  }
+  forward.set_service(call.service);
+  forward.set_organisation(call.organisation);
+  forward.set_importance(importance);
+  forward.set_idempotent(route->idempotent);
+  forward.set_route(route->name);
+  forward.set_caller_service(identity_.service);
+  return Reason::kNone;
+}
+
+/// Smooth weighted round robin: shares are kept over short times too.
+const std::string& Node::PickService(const Route& route) {
+  if (route.services.size() == 1)
+    return route.services.front().service;
+  auto& credit = split_credit_[&route];
+  if (credit.empty()) {
+    // A random start, so that nodes do not all begin with the same part.
+    for (const auto& part : route.services) {
+      credit.push_back(
+          std::uniform_real_distribution<double>(0, part.weight)(random_));
+    }
+  }
+  double total = 0;
+  size_t best = 0;
+  for (size_t i = 0; i < route.services.size(); ++i) {
+    credit[i] += route.services[i].weight;
+    total += route.services[i].weight;
+    if (credit[i] > credit[best])
+      best = i;
+  }
+  credit[best] -= total;
+  return route.services[best].service;
+}
+
+bool Node::ConfigFresh() const {
+  return config_ && now_ - config_confirmed_ <
+                        identity_.bounds.key_withdrawal - kWithdrawalMargin;
+}
+
+bool Node::IsQuarantined(const wire::Forward& forward) const {
+  return quarantine_.size() > 0 &&
+         quarantine_.IsQuarantined(FingerprintOfForward(forward), now_);
+}
+
+void Node::Place(Call& call) {
+  auto choice =
+      placement_.Choose(call.service, call.forward->importance(), call.tried);
+  if (!choice || call.tried.size() >= kMostPlacements) {
+    bool any = placement_.Serves(call.service);
+    Refuse(call, any ? Reason::kOverload : Reason::kNoTarget,
+           SpreadRetryAfter(kUnknownHint));
+    return;
+  }
+  auto useful = static_cast<double>((call.useful_until - now_).count());
+  auto left = static_cast<double>((call.deadline - now_).count());
+  auto wait = static_cast<double>(choice->wait.count());
+  auto service = static_cast<double>(choice->service.count());
+  bool too_late = choice->wait.count() > 0
+                      ? wait + service > useful * kUsableTime
+                      : left <= 0;
+  if (too_late) {
+    Refuse(call, Reason::kOverload, SpreadRetryAfter(choice->wait));
+    return;
+  }
+  SendTo(call, *choice);
+}
+
+void Node::SendTo(Call& call, const Placement::Choice& choice) {
+  auto ms_until = [this](TimePoint time) {
+    return static_cast<uint32_t>(std::max<int64_t>(
+        0, std::chrono::duration_cast<milliseconds>(time - now_).count()));
+  };
+  call.forward->set_remaining_ms(ms_until(call.deadline));
+  call.forward->set_useful_ms(ms_until(call.useful_until));
+  call.node = choice.node;
+  call.stream = ++last_id_;
+  placement_.OnSent(choice.node);
+  if (choice.node == identity_.node) {
+    call.link = LinkId();
+    Accept(Work{WorkId{call.stream}, LinkId(), call.stream, call.id,
+                call.forward});
+    return;
+  }
+  auto member = members_.find(choice.node);
+  call.link = member->second.link;
+  Link& link = links_.at(call.link);
+  link.calls[call.stream] = call.id;
+  link.last_forward = now_;
+  call.forward->set_stream(call.stream);
+  effects_.push_back(SendForward{call.link, call.forward});
+}
+
+void Node::Detach(Call& call) {
+  placement_.OnEnded(call.node);
+  auto link = links_.find(call.link);
+  if (link != links_.end())
+    link->second.calls.erase(call.stream);
+  call.stream = 0;
+}
+
+bool Node::MayRepeat(const Call& call) const {
+  return call.forward->idempotent() && call.runs < call.max_attempts &&
+         now_ < call.deadline && !IsQuarantined(*call.forward);
+}
+
+void Node::OnOutcome(Call& call, std::shared_ptr<wire::Outcome> outcome) {
+  Detach(call);
+  call.tried.push_back(call.node);
+  switch (outcome->kind()) {
+    case wire::Outcome::ANSWERED: {
+      ++call.runs;
+      bool failed = static_cast<int>(outcome->status()) >= kServerError;
+      if (failed && MayRepeat(call) &&
+          retries_.Take(call.service, NodeCount(), now_)) {
+        call.may_have_run = true;
+        break;
+      }
+      CallId id = call.id;
+      effects_.push_back(DeliverAnswer{id, std::move(outcome)});
+      EndCall(call);
+      calls_.erase(id);
+      return;
+    }
+    case wire::Outcome::NOT_RUN:
+      break;
+    case wire::Outcome::SHED:
+      // The request has reached a target, so a further one counts as a repeat.
+      if (!retries_.Take(call.service, NodeCount(), now_)) {
+        Refuse(call, Reason::kOverload, SpreadRetryAfter(kUnknownHint));
+        return;
+      }
+      break;
+    default:
+      ++call.runs;
+      call.may_have_run = true;
+      if (!MayRepeat(call) || !retries_.Take(call.service, NodeCount(), now_)) {
+        bool late = now_ >= call.deadline || outcome->reason() == "deadline";
+        Refuse(call, late ? Reason::kDeadline : Reason::kTargetFailed,
+               milliseconds(0));
+        return;
+      }
+      break;
+  }
+  LogLine(LogCode::kCallRetried,
+          {{"request_id", call.forward->request_id()},
+           {"organisation", call.organisation},
+           {"node", call.node},
+           {"outcome", wire::Outcome::Kind_Name(outcome->kind())},
+           {"reason", outcome->reason()}});
+  Place(call);
+}
+
+void Node::Refuse(Call& call, Reason reason, milliseconds retry_after) {
+  bool not_run = !call.may_have_run;
+  if (not_run && !call.organisation.empty() && reason != Reason::kOverRate)
+    rate_share_.GiveBack(call.organisation);
+  RefuseCaller refuse{call.id, call.forward->request_id(), reason, not_run};
+  if (not_run && InfoOf(reason).retry_after)
+    refuse.retry_after = retry_after;
+  effects_.push_back(std::move(refuse));
+  LogLine(LogCode::kCallRefused,
+          {{"request_id", call.forward->request_id()},
+           {"organisation", call.organisation},
+           {"route", call.forward->route()},
+           {"service", call.service},
+           {"reason", std::string(InfoOf(reason).name)},
+           {"not_run", not_run ? "true" : "false"},
+           {"node", call.node},
+           {"placements", std::to_string(call.tried.size())},
+           {"held_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                          now_ - call.arrived)
+                                          .count())},
+           {"config", config_ ? std::to_string(config_->version) : "none"},
+           {"config_age_ms", ConfigAge()}});
+  if (calls_.contains(call.id)) {
+    CallId id = call.id;
+    EndCall(call);
+    calls_.erase(id);
+  }
+}
+
+milliseconds Node::SpreadRetryAfter(microseconds base) {
+  auto hint = std::clamp(std::chrono::duration_cast<milliseconds>(base),
+                         kShortestHint, kLongestHint);
+  std::uniform_real_distribution<double> spread(0.75, 1.5);
+  return milliseconds(static_cast<int64_t>(static_cast<double>(hint.count()) *
+                                           spread(random_)));
+}
+
+void Node::On(const CallerLeft& event) {
+  auto found = calls_.find(event.call);
+  if (found == calls_.end())
+    return;
+  Call call = found->second;
+  Detach(found->second);
+  EndCall(found->second);
+  calls_.erase(found);
+  if (!call.link) {
+    CancelWork(WorkId{call.stream});
+    return;
+  }
+  auto frame = std::make_shared<wire::Frame>();
+  frame->mutable_cancel()->set_stream(call.stream);
+  Send(call.link, std::move(frame));
+}
+
+void Node::ExpireCalls() {
+  while (!call_deadlines_.empty() && call_deadlines_.begin()->first <= now_) {
+    CallId id = call_deadlines_.begin()->second;
+    call_deadlines_.erase(call_deadlines_.begin());
+    auto found = calls_.find(id);
+    if (found == calls_.end())
+      continue;
+    Call& call = found->second;
+    LinkId link = call.link;
+    uint64_t stream = call.stream;
+    Detach(call);
+    call.may_have_run = true;
+    Refuse(call, Reason::kDeadline, milliseconds(0));
+    if (!link) {
+      CancelWork(WorkId{stream});
+      continue;
+    }
+    auto frame = std::make_shared<wire::Frame>();
+    frame->mutable_cancel()->set_stream(stream);
+    Send(link, std::move(frame));
+  }
+}
+
+void Node::EndCall(const Call& call) {
+  call_deadlines_.erase({call.deadline, call.id});
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/node_fleet.cc
@@ -0,0 +1,501 @@
+#include <algorithm>
+#include <utility>
+
+#include "mesh/node.h"
+
+/// Other nodes: records in the store, links, rate shares and quarantine.
+namespace comfreylock::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Keys of the nodes' records in the store.
+constexpr std::string_view kNodesPrefix = "comfreylock/nodes/";
+/// Life of a record without renewal, and the interval of renewals.
+constexpr std::chrono::seconds kRecordLife{9};
+constexpr milliseconds kRenewInterval = 3000ms;
+/// Pause after a failed call to the store.
+constexpr milliseconds kStorePause = 400ms;
+constexpr milliseconds kStoreTimeout = 1500ms;
+/// Records read at a time.
+constexpr int64_t kRecordsPage = 400;
+/// Pauses between attempts to connect to a node.
+constexpr milliseconds kFirstBackoff = 200ms;
+constexpr milliseconds kLongestBackoff = 2000ms;
+/// Silence after which a link is closed: with requests in progress, and
+/// without. The other node tells its load five times a second, or once a
+/// second.
+constexpr milliseconds kBusySilence = 1300ms;
+constexpr milliseconds kIdleSilence = 3500ms;
+/// A longer time between two wake-ups means that this process stood still.
+constexpr milliseconds kStandstill = 400ms;
+/// Interval at which demand is reported to the holders of rates.
+constexpr milliseconds kDemandInterval = 200ms;
+/// Nodes for each holder of rates.
+constexpr size_t kNodesPerHolder = 64;
+
+/// FNV-1a, the same on all nodes.
+uint64_t Hash(std::string_view text) {
+  uint64_t hash = 14695981039346656037u;
+  for (unsigned char letter : text) {
+    hash ^= letter;
+    hash *= 1099511628211u;
+  }
+  return hash;
+}
+
+std::string RecordKey(const NodeId& node) {
+  return std::string(kNodesPrefix) + node;
+}
+
+}  // namespace
+
+void Node::Ask(StoreRequest request, StoreHandler handler) {
+  StoreCallId call{++last_id_};
+  store_calls_[call] = std::move(handler);
+  effects_.push_back(AskStore{call, std::move(request), kStoreTimeout});
+}
+
+void Node::On(const StoreReplied& event) {
+  auto found = store_calls_.find(event.call);
+  if (found == store_calls_.end())
+    return;
+  const auto* failure = std::get_if<StoreFailure>(&event.result);
+  bool away = failure != nullptr;
+  if (away != store_away_) {
+    store_away_ = away;
+    LogLine(away ? LogCode::kStoreFailed : LogCode::kStoreRecovered,
+            {{"reason", away ? failure->message : "answered"}});
+  }
+  StoreHandler handler = found->second;
+  bool watch = event.call == reads_.watch;
+  if (!watch || away)
+    store_calls_.erase(found);
+  handler(event.result);
+}
+
+void Node::AdvanceRecord() {
+  if (record_.asking || now_ < record_.next || stopping_)
+    return;
+  if (record_.lease == 0) {
+    record_.asking = true;
+    Ask(StoreLeaseGrant{kRecordLife}, [this](const StoreResult& result) {
+      record_.asking = false;
+      const auto* lease = std::get_if<StoreLeaseResult>(&result);
+      record_.next = now_ + (lease ? milliseconds(0) : kStorePause);
+      if (lease)
+        record_.lease = lease->lease;
+      if (lease && !stopping_)
+        WriteRecord();
+    });
+    return;
+  }
+  if (!record_.written) {
+    WriteRecord();
+    return;
+  }
+  record_.asking = true;
+  Ask(StoreLeaseKeepAlive{record_.lease}, [this](const StoreResult& result) {
+    record_.asking = false;
+    const auto* lease = std::get_if<StoreLeaseResult>(&result);
+    record_.next = now_ + (lease ? kRenewInterval : kStorePause);
+    if (lease && lease->ttl.count() == 0) {
+      record_.lease = 0;
+      record_.written = false;
+      record_.next = now_;
+    }
+  });
+}
+
+void Node::WriteRecord() {
+  wire::NodeRecord record;
+  wire::Hello* hello = record.mutable_node();
+  hello->set_node(identity_.node);
+  hello->set_service(identity_.service);
+  hello->set_zone(identity_.zone);
+  hello->set_boot(identity_.boot);
+  record.set_address(identity_.peer_address);
+  StoreTransaction transaction;
+  transaction.puts.push_back(
+      {RecordKey(identity_.node), record.SerializeAsString(), record_.lease});
+  record_.asking = true;
+  Ask(std::move(transaction), [this](const StoreResult& result) {
+    record_.asking = false;
+    const auto* done = std::get_if<StoreTransactionResult>(&result);
+    record_.written = done && done->succeeded;
+    record_.next = now_ + (record_.written ? kRenewInterval : kStorePause);
+    // The lease has ended, or an answer was lost: a new lease is certain.
+    if (!record_.written)
+      record_.lease = 0;
+  });
+}
+
+void Node::AdvanceMembers() {
+  if (reads_.reading || reads_.watch || now_ < reads_.next)
+    return;
+  reads_.after.clear();
+  reads_.seen.clear();
+  ReadMembers();
+}
+
+void Node::ReadMembers() {
+  reads_.reading = true;
+  std::string prefix(kNodesPrefix);
+  std::string from = reads_.after.empty() ? prefix : reads_.after + '\0';
+  Ask(StoreRange{from, PrefixEnd(prefix), kRecordsPage},
+      [this](const StoreResult& result) {
+        reads_.reading = false;
+        const auto* range = std::get_if<StoreRangeResult>(&result);
+        if (!range) {
+          reads_.next = now_ + kStorePause;
+          return;
+        }
+        // Pages are no snapshot: the watch begins at the first page.
+        if (reads_.after.empty())
+          reads_.revision = range->revision;
+        for (const StoreEntry& entry : range->entries) {
+          reads_.seen.insert(entry.key);
+          LearnMember(entry);
+        }
+        if (range->more && !range->entries.empty()) {
+          reads_.after = range->entries.back().key;
+          ReadMembers();
+          return;
+        }
+        std::vector<std::string> lapsed;
+        for (const auto& [node, member] : members_) {
+          if (member.recorded && !reads_.seen.contains(RecordKey(node)))
+            lapsed.push_back(RecordKey(node));
+        }
+        for (const std::string& key : lapsed)
+          ForgetRecord(key);
+        if (record_.written && !reads_.seen.contains(RecordKey(identity_.node)))
+          ForgetRecord(RecordKey(identity_.node));
+        reads_.done = true;
+        WatchMembers();
+      });
+}
+
+void Node::WatchMembers() {
+  std::string prefix(kNodesPrefix);
+  Ask(StoreWatch{prefix, PrefixEnd(prefix), reads_.revision + 1},
+      [this](const StoreResult& result) {
+        const auto* changes = std::get_if<StoreWatchResult>(&result);
+        if (!changes || changes->compacted_revision != 0) {
+          // The history is gone: everything is read again.
+          store_calls_.erase(reads_.watch);
+          reads_.watch = StoreCallId();
+          reads_.next = now_;
+          return;
+        }
+        for (const StoreChange& change : changes->changes) {
+          if (change.deleted)
+            ForgetRecord(change.entry.key);
+          else
+            LearnMember(change.entry);
+        }
+      });
+  reads_.watch = StoreCallId{last_id_};
+}
+
+void Node::LearnMember(const StoreEntry& entry) {
+  wire::NodeRecord record;
+  std::string_view key = entry.key;
+  if (!key.starts_with(kNodesPrefix))
+    return;
+  NodeId node(key.substr(kNodesPrefix.size()));
+  if (!record.ParseFromString(entry.value) || record.node().node() != node) {
+    LogLine(LogCode::kReportIgnored,
+            {{"target", std::string(key)}, {"reason", "unreadable_record"}});
+    return;
+  }
+  if (node == identity_.node)
+    return;
+  auto [found, added] = members_.try_emplace(node);
+  Member& member = found->second;
+  bool restarted = !added && member.record.node().boot() < record.node().boot();
+  bool moved = !added && member.record.address() != record.address();
+  if (restarted || moved) {
+    if (member.link)
+      CloseLinkOf(member.link);
+    member.next_connect = now_;
+    member.backoff = kFirstBackoff;
+  }
+  member.record = record;
+  member.recorded = true;
+  placement_.SetNode(node, record.node().service(), record.node().zone());
+  if (added) {
+    LogLine(LogCode::kMemberChanged, {{"node", node},
+                                      {"state", "joined"},
+                                      {"service", record.node().service()},
+                                      {"zone", record.node().zone()}});
+  }
+  ConnectMembers();
+}
+
+void Node::ForgetRecord(const std::string& key) {
+  NodeId node = key.substr(std::min(key.size(), kNodesPrefix.size()));
+  if (node == identity_.node) {
+    if (!stopping_) {
+      record_.lease = 0;
+      record_.written = false;
+      record_.next = now_;
+    }
+    return;
+  }
+  auto found = members_.find(node);
+  if (found == members_.end())
+    return;
+  found->second.recorded = false;
+  auto link = links_.find(found->second.link);
+  // Its lease may have ended while the store was away. The node itself is
+  // asked.
+  if (link == links_.end() || !link->second.open)
+    RemoveMember(node);
+}
+
+void Node::RemoveMember(const NodeId& node) {
+  auto found = members_.find(node);
+  if (found == members_.end())
+    return;
+  LinkId link = found->second.link;
+  members_.erase(found);
+  placement_.RemoveNode(node);
+  LogLine(LogCode::kMemberChanged, {{"node", node}, {"state", "gone"}});
+  if (link)
+    CloseLinkOf(link);
+}
+
+void Node::ConnectMembers() {
+  if (stopped_)
+    return;
+  for (auto& [node, member] : members_) {
+    if (member.link || now_ < member.next_connect)
+      continue;
+    member.link = LinkId{++last_id_};
+    Link& link = links_[member.link];
+    link.id = member.link;
+    link.node = node;
+    link.last_received = now_;
+    effects_.push_back(OpenLink{member.link, member.record.address()});
+  }
+}
+
+void Node::CloseSilentLinks() {
+  if (now_ - last_pass_ > kStandstill) {
+    for (auto& [id, link] : links_)
+      link.last_received = now_;
+  }
+  std::vector<LinkId> silent;
+  for (const auto& [id, link] : links_) {
+    bool busy = !link.calls.empty();
+    auto limit = busy ? kBusySilence : kIdleSilence;
+    if (!link.accepted && link.open && now_ - link.last_received > limit)
+      silent.push_back(id);
+  }
+  for (LinkId id : silent) {
+    LogLine(LogCode::kLinkLost,
+            {{"node", links_.at(id).node}, {"reason", "silent"}});
+    CloseLinkOf(id);
+  }
+}
+
+void Node::CloseLinkOf(LinkId id) {
+  effects_.push_back(CloseLink{id});
+  On(LinkClosed{id});
+}
+
+void Node::On(const LinkOpened& event) {
+  Link& link = links_[event.link];
+  link.id = event.link;
+  link.accepted = event.accepted;
+  link.open = true;
+  link.last_received = now_;
+  if (event.accepted) {
+    link.node = event.peer.node();
+    // The other node learns at once what this target can take.
+    link.last_load = now_;
+    auto frame = std::make_shared<wire::Frame>();
+    *frame->mutable_load() = OwnLoad();
+    Send(event.link, std::move(frame));
+    return;
+  }
+  auto member = members_.find(link.node);
+  if (member == members_.end() || member->second.link != event.link ||
+      event.peer.node() != link.node) {
+    CloseLinkOf(event.link);
+    return;
+  }
+  member->second.backoff = kFirstBackoff;
+  LogLine(LogCode::kLinkOpened, {{"node", link.node}});
+}
+
+void Node::On(const LinkClosed& event) {
+  auto found = links_.find(event.link);
+  if (found == links_.end())
+    return;
+  Link link = std::move(found->second);
+  links_.erase(found);
+  auto member = members_.find(link.node);
+  if (!link.accepted && member != members_.end() &&
+      member->second.link == link.id) {
+    Member& state = member->second;
+    state.link = LinkId();
+    state.backoff = state.backoff.count() == 0
+                        ? kFirstBackoff
+                        : std::min(state.backoff * 2, kLongestBackoff);
+    state.next_connect = now_ + state.backoff;
+    placement_.SetUnreachable(link.node);
+    if (link.open) {
+      state.next_connect = now_;
+      LogLine(LogCode::kLinkLost,
+              {{"node", link.node},
+               {"reason", "closed"},
+               {"calls", std::to_string(link.calls.size())}});
+    }
+    if (!state.recorded)
+      RemoveMember(link.node);
+  }
+  for (const auto& [stream, id] : link.calls) {
+    auto call = calls_.find(id);
+    if (call == calls_.end() || call->second.stream != stream)
+      continue;
+    auto outcome = std::make_shared<wire::Outcome>();
+    outcome->set_kind(link.open ? wire::Outcome::UNKNOWN
+                                : wire::Outcome::NOT_RUN);
+    outcome->set_reason("link_lost");
+    OnOutcome(call->second, std::move(outcome));
+  }
+  for (const auto& [stream, id] : link.works)
+    CancelWork(id);
+}
+
+void Node::On(const FrameReceived& event) {
+  auto found = links_.find(event.link);
+  if (found == links_.end())
+    return;
+  Link& link = found->second;
+  link.last_received = now_;
+  wire::Frame& frame = *event.frame;
+  switch (frame.body_case()) {
+    case wire::Frame::kLoad:
+      if (!frame.load().service().empty()) {
+        auto member = members_.find(link.node);
+        if (member != members_.end()) {
+          placement_.SetNode(link.node, frame.load().service(),
+                             member->second.record.node().zone());
+        }
+      }
+      if (!link.accepted)
+        placement_.Learn(link.node, frame.load(), now_);
+      return;
+    case wire::Frame::kForward: {
+      link.last_forward = now_;
+      Work work{WorkId{++last_id_}, event.link, frame.forward().stream()};
+      work.forward = std::shared_ptr<wire::Forward>(frame.release_forward());
+      Accept(std::move(work));
+      return;
+    }
+    case wire::Frame::kCancel: {
+      auto work = link.works.find(frame.cancel().stream());
+      if (work != link.works.end())
+        CancelWork(work->second);
+      return;
+    }
+    case wire::Frame::kOutcome: {
+      link.last_forward = now_;
+      if (frame.outcome().has_load())
+        placement_.Learn(link.node, frame.outcome().load(), now_);
+      auto stream = link.calls.find(frame.outcome().stream());
+      if (stream == link.calls.end())
+        return;
+      auto call = calls_.find(stream->second);
+      if (call == calls_.end())
+        return;
+      OnOutcome(call->second,
+                std::shared_ptr<wire::Outcome>(frame.release_outcome()));
+      return;
+    }
+    case wire::Frame::kDemand:
+      OnDemand(event.link, frame.demand());
+      return;
+    case wire::Frame::kShares:
+      rate_share_.Apply(frame.shares(), now_);
+      return;
+    case wire::Frame::kQuarantined:
+      if (quarantine_.Merge(frame.quarantined().entries(), now_))
+        TellQuarantine(event.link);
+      return;
+    default:
+      return;
+  }
+}
+
+NodeId Node::RateHolderFor(const std::string& organisation) const {
+  size_t parts = 1 + NodeCount() / kNodesPerHolder;
+  std::string part = std::to_string(Hash(organisation) % parts);
+  NodeId best = identity_.node;
+  uint64_t best_rank = Hash(part + "/" + best);
+  for (const auto& [node, member] : members_) {
+    uint64_t rank = Hash(part + "/" + node);
+    if (rank > best_rank) {
+      best = node;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void Node::ReportDemand() {
+  if (now_ < next_demand_ || !config_ || !reads_.done)
+    return;
+  next_demand_ = now_ + kDemandInterval;
+  std::map<NodeId, wire::Demand> by_holder;
+  wire::Demand demand_here = rate_share_.Demand(now_);
+  for (wire::Demand::Row& row : *demand_here.mutable_rows())
+    *by_holder[RateHolderFor(row.organisation())].add_rows() = std::move(row);
+  for (auto& [holder, demand] : by_holder) {
+    if (holder == identity_.node) {
+      rate_share_.Apply(rate_holder_.OnDemand(identity_.node, demand, *config_,
+                                              NodeCount(), now_),
+                        now_);
+      continue;
+    }
+    auto member = members_.find(holder);
+    if (member == members_.end() || !member->second.link)
+      continue;
+    auto link = links_.find(member->second.link);
+    if (link == links_.end() || !link->second.open)
+      continue;
+    auto frame = std::make_shared<wire::Frame>();
+    *frame->mutable_demand() = std::move(demand);
+    Send(member->second.link, std::move(frame));
+  }
+}
+
+void Node::OnDemand(LinkId link, const wire::Demand& demand) {
+  if (!config_)
+    return;
+  auto frame = std::make_shared<wire::Frame>();
+  *frame->mutable_shares() = rate_holder_.OnDemand(links_.at(link).node, demand,
+                                                   *config_, NodeCount(), now_);
+  Send(link, std::move(frame));
+}
+
+void Node::TellQuarantine(LinkId except) {
+  auto frame = std::make_shared<wire::Frame>();
+  for (auto& entry : quarantine_.Export(now_))
+    *frame->mutable_quarantined()->add_entries() = std::move(entry);
+  for (const auto& [id, link] : links_) {
+    if (link.open && !link.accepted && id != except)
+      Send(id, frame);
+  }
+}
+
+void Node::Send(LinkId link, std::shared_ptr<wire::Frame> frame) {
+  auto found = links_.find(link);
+  if (found != links_.end() && found->second.open)
+    effects_.push_back(SendFrame{link, std::move(frame)});
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/retry_allowance.cc
@@ -0,0 +1,59 @@
+#include "mesh/retry_allowance.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace comfreylock::mesh {
+namespace {
+
+/// Part of the bound that is used. A repeated request repeats its calls at the
+/// services below, which count there as well.
+constexpr double kUsedPart = 0.5;
+
+}  // namespace
+
+RetryAllowance::Counts& RetryAllowance::Roll(std::string_view service,
+                                             TimePoint now) {
+  auto found = services_.find(service);
+  if (found == services_.end())
+    found = services_.emplace(std::string(service), Counts()).first;
+  Counts& counts = found->second;
+  auto length = std::chrono::duration_cast<TimePoint::duration>(bound_.window) /
+                static_cast<int64_t>(kParts);
+  int64_t part = now.time_since_epoch() / length;
+  int64_t passed =
+      std::min<int64_t>(part - counts.part, static_cast<int64_t>(kParts));
+  for (int64_t i = 1; i <= passed; ++i) {
+    auto index = static_cast<size_t>((counts.part + i) % kParts);
+    counts.requests[index] = 0;
+    counts.repeats[index] = 0;
+  }
+  if (passed == static_cast<int64_t>(kParts)) {
+    counts.requests.fill(0);
+    counts.repeats.fill(0);
+  }
+  counts.part = part;
+  return counts;
+}
+
+void RetryAllowance::CountRequest(std::string_view service, TimePoint now) {
+  Counts& counts = Roll(service, now);
+  counts.requests[static_cast<size_t>(counts.part % kParts)] += 1;
+}
+
+bool RetryAllowance::Take(std::string_view service,
+                          size_t nodes,
+                          TimePoint now) {
+  Counts& counts = Roll(service, now);
+  double requests =
+      std::accumulate(counts.requests.begin(), counts.requests.end(), 0.0);
+  double repeats =
+      std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0.0);
+  double slack = bound_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
+  if (repeats + 1 > kUsedPart * (bound_.ratio * requests + slack))
+    return false;
+  counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
+  return true;
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/shell.cc
@@ -0,0 +1,224 @@
+#include "mesh/shell.h"
+
+#include <time.h>
+
+#include <algorithm>
+
+#include "mesh/socket_options.h"
+
+namespace comfreylock::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+/// The target is on the same host.
+constexpr HttpClient::Limits kTargetLimits{.connect_timeout = 300ms,
+                                           .silence = kTargetSilenceLimit,
+                                           .idle = 4000ms};
+
+wire::Hello HelloOf(const NodeIdentity& identity) {
+  wire::Hello hello;
+  hello.set_node(identity.node);
+  hello.set_service(identity.service);
+  hello.set_zone(identity.zone);
+  hello.set_boot(identity.boot);
+  return hello;
+}
+
+}  // namespace
+
+TimePoint ReadClock() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  auto since =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return TimePoint(
+      std::chrono::duration_cast<std::chrono::microseconds>(since));
+}
+
+Shell::Shell(asio::io_context& context,
+             ShellSettings settings,
+             LineLog& log,
+             const CallerDialect& callers,
+             const TargetDialect& targets)
+    : context_(context),
+      settings_(std::move(settings)),
+      log_(log),
+      caller_dialect_(callers),
+      target_dialect_(targets),
+      node_(std::make_unique<Node>(settings_.identity, ReadClock())),
+      callers_(context,
+               {[this](CallId call, HttpRequest request) {
+                  OnRequest(call, std::move(request));
+                },
+                [this](CallId call) {
+                  pending_.erase(call);
+                  Feed(CallerLeft{call});
+                },
+                [this] {
+                  const FleetConfig* config = node_->config();
+                  return config ? config->limits : CallerLimits();
+                }}),
+      target_(context, settings_.identity.target_address, kTargetLimits),
+      links_(context,
+             HelloOf(settings_.identity),
+             [this](EventBody event) { Feed(std::move(event)); }),
+      wake_(context) {}
+
+Shell::~Shell() = default;
+
+void Shell::Listen() {
+  callers_.Listen(settings_.caller_address);
+  links_.Listen(settings_.identity.peer_address);
+  Log(LogCode::kNodeStarted,
+      {{"service", settings_.identity.service},
+       {"zone", settings_.identity.zone},
+       {"boot", std::to_string(settings_.identity.boot)}});
+  listening_ = true;
+  Feed(TimePassed{});
+}
+
+void Shell::OnRequest(CallId call, HttpRequest request) {
+  auto decoded = caller_dialect_.Decode(std::move(request));
+  if (!decoded) {
+    RefuseCaller refusal{call, "", Reason::kMalformed};
+    callers_.Respond(call, caller_dialect_.Encode(refusal));
+    return;
+  }
+  pending_[call] = {ReadClock(), decoded->forward};
+  Feed(RequestArrived{call, std::move(*decoded)});
+}
+
+void Shell::Feed(EventBody event) {
+  events_.push_back(std::move(event));
+  if (feeding_)
+    return;
+  feeding_ = true;
+  while (!events_.empty()) {
+    EventBody next = std::move(events_.front());
+    events_.pop_front();
+    Reduce(std::move(next));
+  }
+  feeding_ = false;
+  ScheduleWake();
+}
+
+void Shell::Reduce(EventBody event) {
+  for (auto& effect : node_->Reduce(Event{ReadClock(), std::move(event)}))
+    std::visit([this](const auto& body) { Apply(body); }, effect);
+}
+
+void Shell::ScheduleWake() {
+  if (!listening_)
+    return;
+  TimePoint due = node_->NextWake();
+  if (wake_at_ <= due && wake_at_ != TimePoint())
+    return;
+  wake_at_ = due;
+  wake_.expires_after(std::max(due - ReadClock(), TimePoint::duration(0)));
+  wake_.async_wait([this](boost::system::error_code error) {
+    if (error)
+      return;
+    wake_at_ = TimePoint();
+    Feed(TimePassed{});
+    log_.Flush();
+  });
+}
+
+void Shell::Reconfigure(const NodeBounds& bounds, const std::string& service) {
+  node_->Reconfigure(bounds, service);
+}
+
+void Shell::Log(LogCode code,
+                std::vector<std::pair<std::string, std::string>> fields) {
+  log_.Write(code, fields);
+}
+
+NodeStatus Shell::status() const {
+  return node_->StatusAt(ReadClock());
+}
+
+std::string Shell::MetricsText() const {
+  std::string text = metrics_.Text(status());
+  auto counter = [&text](const std::string& name, uint64_t value) {
+    text += "comfreylock_" + name + " " + std::to_string(value) + "\n";
+  };
+  counter("caller_connections", callers_.connections());
+  counter("target_connections", target_.connections());
+  counter("peer_sent_bytes", links_.sent_bytes());
+  counter("peer_received_bytes", links_.received_bytes());
+  counter("log_lines_dropped", log_.dropped());
+  return text;
+}
+
+void Shell::CountAnswer(CallId call, const std::string& result) {
+  auto found = pending_.find(call);
+  if (found == pending_.end())
+    return;
+  const wire::Forward& forward = *found->second.forward;
+  metrics_.CountAnswer(forward.route(), forward.organisation(), result,
+                       ReadClock() - found->second.since);
+  pending_.erase(found);
+}
+
+void Shell::Apply(const DeliverAnswer& effect) {
+  CountAnswer(effect.call, std::to_string(effect.answer->status()));
+  callers_.Respond(effect.call, caller_dialect_.Encode(effect));
+}
+
+void Shell::Apply(const RefuseCaller& effect) {
+  CountAnswer(effect.call, std::string(InfoOf(effect.reason).name));
+  callers_.Respond(effect.call, caller_dialect_.Encode(effect));
+}
+
+void Shell::Apply(const RunOnTarget& effect) {
+  auto left =
+      std::chrono::duration_cast<milliseconds>(effect.deadline - ReadClock());
+  HttpClient::Options options;
+  options.head_request = effect.forward->method() == "HEAD";
+  options.fresh = !effect.forward->idempotent();
+  auto forward = effect.forward;
+  options.is_mine = [this, forward](const HttpAnswer& answer) {
+    return target_dialect_.IsAnswerTo(answer, *forward);
+  };
+  WorkId work = effect.work;
+  auto done = [this, work, forward](ExchangeResult exchange) {
+    exchanges_.erase(work);
+    TargetResult result;
+    if (exchange.kind == ExchangeResult::Kind::kAnswered) {
+      result = target_dialect_.Decode(std::move(exchange.answer), *forward);
+    } else if (exchange.kind == ExchangeResult::Kind::kNotSent) {
+      result.kind = TargetResult::Kind::kNotSent;
+      result.connection_refused = exchange.refused;
+    }
+    Feed(TargetAnswered{work, std::move(result)});
+  };
+  exchanges_[work] =
+      target_.Send(target_dialect_.Encode(effect, std::max(left, 1ms)),
+                   std::move(options), std::move(done));
+}
+
+void Shell::Apply(const AbortOnTarget& effect) {
+  auto found = exchanges_.find(effect.work);
+  if (found == exchanges_.end())
+    return;
+  target_.Abort(found->second);
+  exchanges_.erase(found);
+}
+
+void Shell::Apply(const AskStore& effect) {
+  if (store_)
+    store_->Start(effect.call, effect.request, effect.timeout);
+}
+
+void Shell::Apply(const WriteLine& effect) {
+  log_.Write(effect.code, effect.fields);
+}
+
+void Shell::Apply(const Stop& /*effect*/) {
+  log_.Flush();
+  context_.stop();
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/shell.h
@@ -0,0 +1,108 @@
+#ifndef COMFREYLOCK_MESH_SHELL_H_
+#define COMFREYLOCK_MESH_SHELL_H_
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mesh/dialect.h"
+#include "mesh/http_client.h"
+#include "mesh/http_server.h"
+#include "mesh/line_log.h"
+#include "mesh/link_hub.h"
+#include "mesh/metrics.h"
+#include "mesh/node.h"
+
+/// Runs a mesh node: feeds events to its reducer and carries out the effects.
+namespace comfreylock::mesh {
+
+struct ShellSettings {
+  NodeIdentity identity;
+  std::string caller_address;  ///< IP:PORT of the listener for callers.
+};
+
+class Shell {
+ public:
+  /// @param log, callers, targets outlive the shell.
+  Shell(asio::io_context& context,
+        ShellSettings settings,
+        LineLog& log,
+        const CallerDialect& callers,
+        const TargetDialect& targets);
+  ~Shell();
+
+  /// @param store carries out what the reducer asks of the store.
+  void SetStore(StoreClient* store) { store_ = store; }
+
+  /// Starts to listen. @throws std::exception if an address cannot be bound.
+  void Listen();
+
+  /// Hands an event to the reducer and carries out its effects.
+  void Feed(EventBody event);
+
+  /// Takes bounds and service from changed settings.
+  void Reconfigure(const NodeBounds& bounds, const std::string& service);
+
+  /// Writes a line to the log.
+  void Log(LogCode code,
+           std::vector<std::pair<std::string, std::string>> fields);
+
+  NodeStatus status() const;
+
+  /// @return counters and histograms as text.
+  std::string MetricsText() const;
+
+ private:
+  /// A caller's request without an answer.
+  struct Pending {
+    TimePoint since;
+    std::shared_ptr<wire::Forward> forward;
+  };
+
+  void OnRequest(CallId call, HttpRequest request);
+  void CountAnswer(CallId call, const std::string& result);
+  void Reduce(EventBody event);
+  void ScheduleWake();
+
+  void Apply(const DeliverAnswer& effect);
+  void Apply(const RefuseCaller& effect);
+  void Apply(const OpenLink& effect) { links_.Apply(effect); }
+  void Apply(const CloseLink& effect) { links_.Apply(effect); }
+  void Apply(const SendFrame& effect) { links_.Apply(effect); }
+  void Apply(const SendForward& effect) { links_.Apply(effect); }
+  void Apply(const RunOnTarget& effect);
+  void Apply(const AbortOnTarget& effect);
+  void Apply(const AskStore& effect);
+  void Apply(const WriteLine& effect);
+  void Apply(const Stop& effect);
+
+  asio::io_context& context_;
+  ShellSettings settings_;
+  LineLog& log_;
+  const CallerDialect& caller_dialect_;
+  const TargetDialect& target_dialect_;
+  StoreClient* store_ = nullptr;
+  std::unique_ptr<Node> node_;
+  HttpServer callers_;
+  HttpClient target_;
+  LinkHub links_;
+  Metrics metrics_;
+  asio::steady_timer wake_;
+  TimePoint wake_at_;
+  std::deque<EventBody> events_;
+  bool feeding_ = false;
+  bool listening_ = false;
+  std::unordered_map<WorkId, HttpClient::ExchangeId> exchanges_;
+  std::unordered_map<CallId, Pending> pending_;
+};
+
+/// @return the present time: it goes on while the host is suspended.
+TimePoint ReadClock();
+
+}  // namespace comfreylock::mesh
+
+#endif  // COMFREYLOCK_MESH_SHELL_H_
--- /dev/null
+++ b/src/mesh/socket_options.cc
@@ -0,0 +1,36 @@
+#include "mesh/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "http_io.h"
+
+namespace comfreylock::mesh {
+namespace {
+
+/// Connections that wait to be accepted.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+void SetSocketOptions(asio::ip::tcp::socket& socket,
+                      std::chrono::milliseconds silence) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  unsigned value = static_cast<unsigned>(silence.count());
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value,
+             sizeof(value));
+}
+
+asio::ip::tcp::acceptor ListenOn(asio::io_context& context,
+                                 const std::string& address) {
+  auto endpoint = ParseEndpoint(address);
+  asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen(kBacklog);
+  return acceptor;
+}
+
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/src/mesh/target_queue.h
@@ -0,0 +1,94 @@
+#ifndef COMFREYLOCK_MESH_TARGET_QUEUE_H_
+#define COMFREYLOCK_MESH_TARGET_QUEUE_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "comfreylock/config.h"
+#include "comfreylock/fair_queue.h"
+#include "comfreylock/types.h"
+#include "service_time.h"
+
+/// The queue beside a target: which requests run, wait, or are refused.
+///
+/// Load pattern: offered work beyond the target's slots for seconds, with some
+/// targets that never answer what they cannot queue. A request waits only if it
+/// can still be answered while its answer has its full worth; the most
+/// important request runs first, and organisations take turns within one
+/// importance.
+namespace comfreylock::mesh {
+
+/// A request offered to the target.
+struct OfferedWork {
+  WorkId work;
+  std::string organisation;
+  std::string route;
+  uint32_t importance = 0;
+  TimePoint useful_until;  ///< The answer has its full worth until then.
+  TimePoint deadline;
+};
+
+class TargetQueue {
+ public:
+  /// Decisions about requests, in order.
+  struct Changes {
+    std::vector<WorkId> start;
+    std::vector<WorkId> refuse;
+  };
+
+  /// Sets how many requests the target runs at a time.
+  void SetSlots(uint32_t slots) { slots_ = slots; }
+
+  /// Offers a request. @return decisions, possibly about other requests too.
+  Changes Offer(const OfferedWork& work, TimePoint now);
+
+  /// Tells that a started request ended.
+  /// @param learn whether its duration says something about the target.
+  Changes Finish(WorkId work, bool learn, TimePoint now);
+
+  /// Removes a waiting request. @return whether it was waiting.
+  bool Remove(WorkId work);
+
+  /// Refuses what has waited too long, and starts what fits.
+  Changes Advance(TimePoint now);
+
+  /// Refuses everything that waits.
+  Changes Clear();
+
+  uint32_t slots() const { return slots_; }
+  uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
+  uint32_t queued() const { return static_cast<uint32_t>(queue_.size()); }
+  const std::array<uint32_t, kImportanceClasses>& queued_by_importance() const {
+    return queued_by_importance_;
+  }
+
+  /// @return mean time of a request at the target; 0 before the first.
+  std::chrono::microseconds mean_service_time() const;
+
+ private:
+  struct Running {
+    std::string route;
+    TimePoint since;
+  };
+
+  /// @return how long a request of this importance would wait.
+  std::chrono::microseconds ExpectedWait(uint32_t importance) const;
+  void StartReady(Changes& changes, TimePoint now);
+  void Forget(WorkId work);
+
+  uint32_t slots_ = 0;
+  FairQueue queue_;
+  std::unordered_map<WorkId, OfferedWork> waiting_;
+  std::unordered_map<WorkId, Running> running_;
+  std::array<uint32_t, kImportanceClasses> queued_by_importance_{};
+  ServiceTime service_time_;
+  double mean_us_ = 0;
+};
+
+}  // namespace comfreylock::mesh
+
+#endif  // COMFREYLOCK_MESH_TARGET_QUEUE_H_
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -159,13 +159,4 @@
   return document.dump(2) + "\n";
 }
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file)
-    throw InputError(path + ": cannot be read");
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 }  // namespace comfreylock
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,6 +9,7 @@
 #include "comfreylock/bundle_head.h"
 #include "comfreylock/policy.h"
 #include "json_reader.h"
+#include "read_file.h"
 
 /// Settings of one node, read from a JSON file with comments.
 namespace comfreylock {
@@ -49,9 +50,6 @@
 /// @return all fields that have a default, with it, as JSON.
 std::string DefaultSettingsText();
 
-/// @throws InputError if the file cannot be read.
-std::string ReadFile(const std::string& path);
-
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_SETTINGS_H_
