Compare targets by the times of each route; bind leaves; restart with the recorded target

Change: leaves take the start time of the target they name; outcomes tell that the target's calls fail; loads carry a time for each route; calls inherit importance; traffic stays in its zone while that costs nothing; the target is recorded for the node's next start.

--- a/src/mesh/http_types.cc
+++ b/src/mesh/http_types.cc
@@ -39,7 +39,7 @@
 }
 
 void RemoveConnectionFields(Fields& fields) {
-  static const std::array<std::string_view, 10> kNames = {
+  [[maybe_unused]] static const std::array<std::string_view, 10> kNames = {
       "connection", "keep-alive",         "proxy-connection", "te",
       "trailer",    "transfer-encoding",  "upgrade",          "content-length",
       "expect",     "proxy-authorization"};
--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -16,7 +16,7 @@
 /// clients stop after two failed readiness checks, one second apart.
 constexpr milliseconds kQuietBeforeStop = 2500ms;
 /// Before the end of the grace time, what is left for closing connections.
-constexpr milliseconds kStopMargin = 700ms;
+constexpr milliseconds kStopMargin = 400ms;
 /// Part of the time for withdrawn keys within which a node without news still
 /// calls itself ready.
 constexpr double kReadyPart = 0.8;
@@ -85,6 +85,10 @@
              {"age_ms", ConfigAge()}});
   }
   AdvanceRecord();
+  if (!target_record_read_)
+    ReadTargetRecord();
+  if (target_record_due_)
+    WriteTargetRecord();
   AdvanceMembers();
   CloseSilentLinks();
   ConnectMembers();
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -172,6 +172,8 @@
   // Calls (node_calls.cc).
   Reason Classify(Call& call, const CallerRequest& request);
   const std::string& PickService(const Route& route);
+  /// @return the request at this host's target that made the call, or null.
+  const Work* ParentOf(const wire::Forward& forward) const;
   bool ConfigFresh() const;
   bool IsQuarantined(const wire::Forward& forward) const;
   /// Sends the call to a target, or refuses it.
@@ -211,6 +213,8 @@
   void Ask(StoreRequest request, StoreHandler handler);
   void AdvanceRecord();
   void WriteRecord();
+  void WriteTargetRecord();
+  void ReadTargetRecord();
   void AdvanceMembers();
   void ReadMembers();
   void WatchMembers();
@@ -245,7 +249,9 @@
   std::unordered_map<CallId, Call> calls_;
   std::set<std::pair<TimePoint, CallId>> call_deadlines_;
   std::unordered_map<WorkId, Work> works_;
+  std::unordered_map<std::string, WorkId> running_requests_;
   Target target_;
+  TimePoint last_call_failure_;     ///< Of a call of the target.
   std::vector<BrokenWork> broken_;  ///< Of the last second.
   TargetQueue queue_;
   Placement placement_;
@@ -278,6 +284,8 @@
     std::set<std::string> seen;
   } reads_;
   bool store_away_ = false;
+  bool target_record_read_ = false;
+  bool target_record_due_ = false;  ///< The last write failed.
 
   bool stopping_ = false;
   TimePoint stop_since_;
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "comfreylock/config.h"
+
 #include "mesh/node.h"
 
 /// Decisions about callers' requests at the node where they arrive.
@@ -27,6 +29,13 @@
 constexpr milliseconds kUnknownHint = 500ms;
 /// Time before the deadline at which the answer must be on its way.
 constexpr milliseconds kAnswerMargin = 5ms;
+/// Time after the start of a graceful stop for which callers' requests are
+/// still taken; later ones might not end before the process must.
+constexpr milliseconds kTakeWhileStopping = 2700ms;
+/// Part of the time left that an answer from another availability zone may take
+/// longer; smaller for calls, of which a request makes several in a row.
+constexpr double kZoneTolerance = 0.1;
+constexpr double kOnwardZoneTolerance = 0.03;
 /// Part of the time left that the expected wait and service may take.
 constexpr double kUsableTime = 0.9;
 constexpr int kServerError = 500;
@@ -44,6 +53,10 @@
     Refuse(call, reason, kUnknownHint);
     return;
   }
+  if (stopping_ && now_ - stop_since_ > kTakeWhileStopping) {
+    Refuse(call, Reason::kDraining, kShortestHint);
+    return;
+  }
   if (IsQuarantined(*call.forward)) {
     Refuse(call, Reason::kQuarantined, milliseconds(0));
     return;
@@ -92,12 +105,15 @@
   call.service = PickService(*route);
   call.max_attempts = std::max(route->max_attempts, 1u);
   // Requests without a key are mostly calls of running requests, whose targets
-  // already hold a slot for them: they go first, and are useful to the end.
+  // already hold a slot for them: they go before new requests of the same
+  // importance, and are useful to the end.
   if (route->open) {
-    importance = 0;
+    const Work* parent = ParentOf(forward);
+    uint32_t inherited = parent ? parent->forward->importance() : 0;
+    importance = inherited > 0 ? inherited - 1 : 0;
     call.useful_until = call.deadline;
   } else {
-    importance += 1;
+    importance = std::min(importance + 1, kImportanceClasses - 1);
   }
   forward.set_service(call.service);
   forward.set_organisation(call.organisation);
@@ -108,6 +124,20 @@
   return Reason::kNone;
 }
 
+const Node::Work* Node::ParentOf(const wire::Forward& forward) const {
+  // Ids of calls are seen to begin with the id of the request that makes them.
+  // Where they do not, the call has no known parent.
+  const std::string& id = forward.request_id();
+  size_t dot = id.rfind('.');
+  if (dot == std::string::npos)
+    return nullptr;
+  auto running = running_requests_.find(id.substr(0, dot));
+  if (running == running_requests_.end())
+    return nullptr;
+  auto work = works_.find(running->second);
+  return work == works_.end() ? nullptr : &work->second;
+}
+
 /// Smooth weighted round robin: shares are kept over short times too.
 const std::string& Node::PickService(const Route& route) {
   if (route.services.size() == 1)
@@ -143,8 +173,13 @@
 }
 
 void Node::Place(Call& call) {
-  auto choice =
-      placement_.Choose(call.service, call.forward->importance(), call.tried);
+  Placement::Request request{call.service, call.forward->route(),
+                             call.forward->importance()};
+  bool onward = call.organisation.empty();
+  request.zone_tolerance = std::chrono::duration_cast<microseconds>(
+      (call.useful_until - now_) *
+      (onward ? kOnwardZoneTolerance : kZoneTolerance));
+  auto choice = placement_.Choose(request, call.tried);
   if (!choice || call.tried.size() >= kMostPlacements) {
     bool any = placement_.Serves(call.service);
     Refuse(call, any ? Reason::kOverload : Reason::kNoTarget,
@@ -210,7 +245,10 @@
     case wire::Outcome::ANSWERED: {
       ++call.runs;
       bool failed = static_cast<int>(outcome->status()) >= kServerError;
-      if (failed && MayRepeat(call) &&
+      if (failed && call.organisation.empty())
+        last_call_failure_ = now_;
+      // If its calls fail, so would those of another target.
+      if (failed && !outcome->calls_failing() && MayRepeat(call) &&
           retries_.Take(call.service, NodeCount(), now_)) {
         call.may_have_run = true;
         break;
@@ -252,6 +290,8 @@
 
 void Node::Refuse(Call& call, Reason reason, milliseconds retry_after) {
   bool not_run = !call.may_have_run;
+  if (call.organisation.empty())
+    last_call_failure_ = now_;
   if (not_run && !call.organisation.empty() && reason != Reason::kOverRate)
     rate_share_.GiveBack(call.organisation);
   RefuseCaller refuse{call.id, call.forward->request_id(), reason, not_run};
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -44,6 +44,10 @@
   return hash;
 }
 
+std::string TargetKey(const NodeId& node) {
+  return "comfreylock/targets/" + node;
+}
+
 std::string RecordKey(const NodeId& node) {
   return std::string(kNodesPrefix) + node;
 }
@@ -130,6 +134,60 @@
   });
 }
 
+void Node::WriteTargetRecord() {
+  target_record_due_ = false;
+  wire::TargetRecord record;
+  if (!target_.leaving) {
+    const TargetReport& report = target_.report;
+    record.set_id(report.id);
+    record.set_service(report.service);
+    record.set_address(report.address);
+    record.set_slots(report.slots);
+    record.set_sequence(report.sequence);
+    record.set_born(report.born);
+  }
+  StoreTransaction transaction;
+  transaction.puts.push_back(
+      {TargetKey(identity_.node), record.SerializeAsString(), 0});
+  Ask(std::move(transaction), [this](const StoreResult& result) {
+    target_record_due_ =
+        !std::holds_alternative<StoreTransactionResult>(result);
+  });
+}
+
+/// A target goes on while its node restarts. Until its next report, the one
+/// before the restart is used; a target that has replaced it refuses requests
+/// that name the former.
+void Node::ReadTargetRecord() {
+  target_record_read_ = true;
+  Ask(StoreRange{TargetKey(identity_.node), ""},
+      [this](const StoreResult& result) {
+        const auto* range = std::get_if<StoreRangeResult>(&result);
+        wire::TargetRecord record;
+        if (!range || range->entries.empty() || !target_.report.id.empty() ||
+            !record.ParseFromString(range->entries.front().value) ||
+            record.id().empty() ||
+            record.address() != identity_.target_address) {
+          return;
+        }
+        TargetReport report;
+        report.id = record.id();
+        report.service = record.service();
+        report.address = record.address();
+        report.slots = record.slots();
+        report.sequence = record.sequence();
+        report.born = record.born();
+        target_.report = report;
+        target_.known = true;
+        target_.reported = now_;
+        queue_.SetSlots(report.slots);
+        LogLine(LogCode::kTargetChanged, {{"target", report.id},
+                                          {"service", report.service},
+                                          {"state", "as_recorded"}});
+        TellLoad();
+      });
+}
+
 void Node::AdvanceMembers() {
   if (reads_.reading || reads_.watch || now_ < reads_.next)
     return;
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -30,8 +30,13 @@
 constexpr milliseconds kIdleLoadInterval = 1000ms;
 /// Time after the last request for which a link counts as busy.
 constexpr milliseconds kBusyTime = 3000ms;
+/// A stopping node still takes work of others for this time: its target is as
+/// good as before, and requests that are in progress end before it exits.
+constexpr milliseconds kServeWhileStopping = 1000ms;
 constexpr int kServerError = 500;
 constexpr double kPermille = 1000;
+/// Time for which a failed call of the target explains its own failures.
+constexpr milliseconds kCallFailureTime = 1500ms;
 /// Ids of targets that have left which are remembered.
 constexpr size_t kGoneTargetsKept = 64;
 
@@ -61,6 +66,7 @@
   auto link = links_.find(work.link);
   if (link != links_.end())
     link->second.works[work.stream] = work.id;
+  running_requests_[work.forward->request_id()] = work.id;
   works_[work.id] = std::move(work);
   Apply(queue_.Offer(offered, now_));
 }
@@ -147,6 +153,7 @@
       outcome->set_reason("broken");
       break;
   }
+  outcome->set_calls_failing(now_ - last_call_failure_ < kCallFailureTime);
   OnTargetFailure(work, result);
   Apply(queue_.Finish(event.work, result.success, now_));
   Reply(work, std::move(outcome));
@@ -252,6 +259,9 @@
   auto link = links_.find(found->second.link);
   if (link != links_.end())
     link->second.works.erase(found->second.stream);
+  auto request = running_requests_.find(found->second.forward->request_id());
+  if (request != running_requests_.end() && request->second == id)
+    running_requests_.erase(request);
   works_.erase(found);
 }
 
@@ -274,7 +284,10 @@
 }
 
 void Node::On(const TargetReported& event) {
-  const TargetReport& report = event.report;
+  TargetReport report = event.report;
+  // A leave may tell nothing but the id.
+  if (report.leaving && report.born == 0 && report.id == target_.report.id)
+    report.born = target_.report.born;
   bool known_service =
       !config_ || report.leaving || config_->services.contains(report.service);
   bool own =
@@ -331,6 +344,8 @@
   }
   if (target_.leaving)
     Apply(queue_.Clear());
+  if (changed || target_.leaving != was_leaving)
+    WriteTargetRecord();
   TellLoad();
 }
 
@@ -352,7 +367,8 @@
 
 wire::Load Node::OwnLoad() const {
   wire::Load load;
-  load.set_serving(TargetServes() && !stopping_);
+  load.set_serving(TargetServes() &&
+                   (!stopping_ || now_ - stop_since_ < kServeWhileStopping));
   load.set_slots(queue_.slots());
   load.set_in_flight(queue_.in_flight());
   for (uint32_t count : queue_.queued_by_importance())
@@ -362,6 +378,11 @@
   load.set_failure_permille(
       static_cast<uint32_t>(target_.failures * kPermille));
   load.set_service(target_.report.service);
+  for (const auto& [route, time] : queue_.RouteTimes(now_)) {
+    wire::Load::RouteTime* row = load.add_route_times();
+    row->set_route(route);
+    row->set_time_us(static_cast<uint32_t>(time.count()));
+  }
   auto since =
       std::chrono::duration_cast<milliseconds>(now_ - target_.reported);
   if (target_.report.warmup_left > since) {
--- a/src/mesh/placement.cc
+++ b/src/mesh/placement.cc
@@ -9,11 +9,8 @@
 
 using std::chrono::microseconds;
 
-/// Service time that is assumed before the first request, microseconds.
-constexpr double kAssumedServiceUs = 50'000;
-/// Added to the cost of a target in another availability zone, microseconds:
-/// the way there and back, and the price of traffic between zones.
-constexpr double kOtherZoneUs = 4'000;
+/// Service time that is assumed before the first request.
+constexpr microseconds kAssumedService{50'000};
 /// Growth of the cost with the square of the used share of the slots, so that
 /// the fastest target is not filled before the others are used.
 constexpr double kUtilisationWeight = 1.0;
@@ -87,33 +84,37 @@
     --found->second.outstanding;
 }
 
+microseconds Placement::TimeOf(const Target& target, std::string_view route) {
+  for (const wire::Load::RouteTime& time : target.load.route_times()) {
+    if (time.route() == route)
+      return microseconds(time.time_us());
+  }
+  return microseconds(0);
+}
+
 std::optional<Placement::Choice> Placement::Choose(
-    std::string_view service,
-    uint32_t importance,
+    const Request& request,
     std::span<const NodeId> tried) {
-  auto nodes = by_service_.find(service);
+  auto nodes = by_service_.find(request.service);
   if (nodes == by_service_.end())
     return std::nullopt;
   // What a target without own figures is taken for: the mean of the others.
-  double sum = 0;
+  microseconds sum(0);
   int known = 0;
   for (const NodeId& node : nodes->second) {
-    const Target& target = targets_.at(node);
-    if (target.load.service_time_us() > 0) {
-      sum += target.load.service_time_us();
-      ++known;
-    }
+    microseconds time = TimeOf(targets_.at(node), request.route);
+    sum += time;
+    known += time.count() > 0 ? 1 : 0;
   }
-  microseconds typical(
-      static_cast<int64_t>(known > 0 ? sum / known : kAssumedServiceUs));
+  microseconds typical = known > 0 ? sum / known : kAssumedService;
   std::optional<Choice> best;
   double best_cost = 0;
   for (const NodeId& node : nodes->second) {
     const Target& target = targets_.at(node);
     if (!Usable(target) || std::ranges::find(tried, node) != tried.end())
       continue;
-    Choice choice = Estimate(node, target, importance, typical);
-    double cost = Cost(choice, target);
+    Choice choice = Estimate(node, target, request, typical);
+    double cost = Cost(choice, target, request);
     if (!best || cost < best_cost) {
       best = choice;
       best_cost = cost;
@@ -132,29 +133,30 @@
 
 Placement::Choice Placement::Estimate(const NodeId& node,
                                       const Target& target,
-                                      uint32_t importance,
+                                      const Request& request,
                                       microseconds typical) const {
   Choice choice{node};
-  choice.service = target.load.service_time_us() > 0
-                       ? microseconds(target.load.service_time_us())
-                       : typical;
+  choice.service = TimeOf(target, request.route);
+  if (choice.service.count() == 0)
+    choice.service = typical;
   uint32_t ahead = target.sent_since_load;
-  for (int lane = 0;
-       lane < target.load.queued_size() && lane <= static_cast<int>(importance);
+  for (int lane = 0; lane < target.load.queued_size() &&
+                     lane <= static_cast<int>(request.importance);
        ++lane) {
     ahead += target.load.queued(lane);
   }
   uint32_t slots = target.load.slots();
   uint32_t used = target.load.in_flight() + ahead;
   if (used >= slots) {
-    choice.wait = microseconds(
-        static_cast<int64_t>(static_cast<double>(choice.service.count()) *
-                             (used - slots + 1) / slots));
+    choice.wait = microseconds(target.load.service_time_us()) *
+                  (used - slots + 1) / slots;
   }
   return choice;
 }
 
-double Placement::Cost(const Choice& choice, const Target& target) {
+double Placement::Cost(const Choice& choice,
+                       const Target& target,
+                       const Request& request) {
   auto service = static_cast<double>(choice.service.count());
   double used = target.load.in_flight() + target.sent_since_load;
   double utilisation = std::min(1.0, used / target.load.slots());
@@ -164,9 +166,10 @@
   if (target.load.warmup_left_ms() > 0)
     cost *= kColdFactor;
   cost += static_cast<double>(choice.wait.count());
+  cost *= std::uniform_real_distribution<double>(1, 1 + kSpread)(random_);
   if (target.zone != zone_)
-    cost += kOtherZoneUs;
-  return cost * std::uniform_real_distribution<double>(1, 1 + kSpread)(random_);
+    cost += static_cast<double>(request.zone_tolerance.count());
+  return cost;
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -47,10 +47,19 @@
   void OnSent(const NodeId& node);
   void OnEnded(const NodeId& node);
 
+  /// What matters of a request.
+  struct Request {
+    std::string_view service;
+    std::string_view route;
+    uint32_t importance = 0;
+    /// Time that an answer from another availability zone may take longer, so
+    /// that traffic stays in the zone while that costs callers nothing.
+    std::chrono::microseconds zone_tolerance{0};
+  };
+
   /// @param tried nodes that are not chosen.
   /// @return the best target, or nothing if none serves.
-  std::optional<Choice> Choose(std::string_view service,
-                               uint32_t importance,
+  std::optional<Choice> Choose(const Request& request,
                                std::span<const NodeId> tried);
 
   /// @return whether any target of the service serves at present.
@@ -72,9 +81,13 @@
   }
   Choice Estimate(const NodeId& node,
                   const Target& target,
-                  uint32_t importance,
+                  const Request& request,
                   std::chrono::microseconds typical) const;
-  double Cost(const Choice& choice, const Target& target);
+  double Cost(const Choice& choice,
+              const Target& target,
+              const Request& request);
+  static std::chrono::microseconds TimeOf(const Target& target,
+                                          std::string_view route);
 
   std::string zone_;
   std::mt19937_64 random_;
--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -6,9 +6,10 @@
 namespace comfreylock::mesh {
 namespace {
 
-/// Part of the bound that is used. A repeated request repeats its calls at the
-/// services below, which count there as well.
-constexpr double kUsedPart = 0.5;
+/// Part of the bound that each node uses for repeats of its own. A repeated
+/// request repeats its calls at the services below, which count there too: four
+/// services in a row stay within the bound.
+constexpr double kUsedPart = 0.25;
 
 }  // namespace
 
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -13,6 +13,10 @@
 /// covers durations above the mean and the way back to the caller.
 constexpr double kUsableTime = 0.9;
 
+/// Routes whose times are told, and how long after their last request.
+constexpr size_t kMostRoutes = 16;
+constexpr std::chrono::seconds kRouteKept{10};
+
 uint32_t LaneOf(uint32_t importance) {
   return std::min(importance, kImportanceClasses - 1);
 }
@@ -63,6 +67,7 @@
   if (learn) {
     microseconds took = now - found->second.since;
     service_time_.Record(found->second.route, took, now);
+    routes_[found->second.route] = now;
     auto sample = static_cast<double>(took.count());
     mean_us_ += mean_us_ == 0 ? sample : kMeanGain * (sample - mean_us_);
   }
@@ -71,6 +76,16 @@
   return changes;
 }
 
+std::vector<std::pair<std::string, microseconds>> TargetQueue::RouteTimes(
+    TimePoint now) const {
+  std::vector<std::pair<std::string, microseconds>> times;
+  for (const auto& [route, ran] : routes_) {
+    if (now - ran < kRouteKept && times.size() < kMostRoutes)
+      times.emplace_back(route, service_time_.Expected(route, ran));
+  }
+  return times;
+}
+
 bool TargetQueue::Remove(WorkId work) {
   if (!queue_.Remove(work))
     return false;
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,10 @@
     return queued_by_importance_;
   }
 
+  /// @return expected times of the routes that ran of late.
+  std::vector<std::pair<std::string, std::chrono::microseconds>> RouteTimes(
+      TimePoint now) const;
+
   /// @return mean time of a request at the target; 0 before the first.
   std::chrono::microseconds mean_service_time() const;
 
@@ -86,6 +91,7 @@
   std::unordered_map<WorkId, Running> running_;
   std::array<uint32_t, kImportanceClasses> queued_by_importance_{};
   ServiceTime service_time_;
+  std::map<std::string, TimePoint> routes_;  ///< When each ran last.
   double mean_us_ = 0;
 };
 
