--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "comfreylock/quarantine.h"
+#include "mesh/call_throttle.h"
 #include "mesh/events.h"
 #include "mesh/placement.h"
 #include "mesh/rate_share.h"
@@ -103,6 +104,8 @@
     uint64_t stream = 0;  /// On `link`, or the number of the local work.
     uint32_t runs = 0;    ///< Targets that may have run it.
     bool may_have_run = false;
+    bool shed = false;        ///< A target has refused it.
+    bool took_token = false;  ///< Of its organisation's rate.
   };
 
   /// A request at this host's target.
@@ -187,6 +190,10 @@
   std::chrono::milliseconds SpreadRetryAfter(std::chrono::microseconds base);
   void ExpireCalls();
   void EndCall(const Call& call);
+  /// @return whether services further down can carry the call.
+  bool AdmittedByThrottle(const Call& call);
+  /// Learns how a call of this host's target ended.
+  void CountOnwardEnd(const Call& call, bool failed, bool overloaded);
 
   // Works (node_works.cc).
   void Accept(Work work);
@@ -251,7 +258,10 @@
   std::unordered_map<WorkId, Work> works_;
   std::unordered_map<std::string, WorkId> running_requests_;
   Target target_;
-  TimePoint last_call_failure_;     ///< Of a call of the target.
+  TimePoint last_call_failure_;   ///< Of a call of the target.
+  TimePoint last_call_overload_;  ///< A call of the target was refused.
+  CallFailures call_failures_;
+  CallThrottle call_throttle_;
   std::vector<BrokenWork> broken_;  ///< Of the last second.
   TargetQueue queue_;
   Placement placement_;
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds kLongestHint = 2000ms;
 /// Hint while nothing is known of when the cause ends.
 constexpr milliseconds kUnknownHint = 500ms;
+/// Hint while a service further down cannot carry more.
+constexpr milliseconds kThrottledHint = 700ms;
 /// Time before the deadline at which the answer must be on its way.
 constexpr milliseconds kAnswerMargin = 5ms;
 /// Time after the start of a graceful stop for which callers' requests are
@@ -61,6 +63,10 @@
     Refuse(call, Reason::kQuarantined, milliseconds(0));
     return;
   }
+  if (!AdmittedByThrottle(call)) {
+    Refuse(call, Reason::kOverload, SpreadRetryAfter(kThrottledHint));
+    return;
+  }
   if (!call.organisation.empty()) {
     const OrganisationLimits& limits =
         config_->organisations.find(call.organisation)->second;
@@ -69,8 +75,14 @@
       Refuse(call, Reason::kOverRate, SpreadRetryAfter(wait));
       return;
     }
+    call.took_token = limits.rate > 0;
   }
   retries_.CountRequest(call.service, now_);
+  const Work* parent = ParentOf(*call.forward);
+  if (parent && parent->forward->repeat()) {
+    call.forward->set_repeat(true);
+    retries_.Charge(call.service, now_);
+  }
   Call& stored = calls_[call.id] = std::move(call);
   call_deadlines_.insert({stored.deadline, stored.id});
   Place(stored);
@@ -104,17 +116,15 @@
   call.useful_until = std::min(call.deadline, now_ + route->target_latency);
   call.service = PickService(*route);
   call.max_attempts = std::max(route->max_attempts, 1u);
-  // Requests without a key are mostly calls of running requests, whose targets
-  // already hold a slot for them: they go before new requests of the same
-  // importance, and are useful to the end.
+  // Requests without a key are mostly calls that running requests make. They
+  // are as important as those, and useful to the end.
   if (route->open) {
     const Work* parent = ParentOf(forward);
-    uint32_t inherited = parent ? parent->forward->importance() : 0;
-    importance = inherited > 0 ? inherited - 1 : 0;
+    importance = parent ? parent->forward->importance() : 0;
     call.useful_until = call.deadline;
-  } else {
-    importance = std::min(importance + 1, kImportanceClasses - 1);
   }
+  importance = std::min(importance, kImportanceClasses - 1);
+  forward.set_onward(route->open);
   forward.set_service(call.service);
   forward.set_organisation(call.organisation);
   forward.set_importance(importance);
@@ -173,9 +183,9 @@
 }
 
 void Node::Place(Call& call) {
+  bool onward = call.forward->onward();
   Placement::Request request{call.service, call.forward->route(),
-                             call.forward->importance()};
-  bool onward = call.organisation.empty();
+                             call.forward->importance(), onward};
   request.zone_tolerance = std::chrono::duration_cast<microseconds>(
       (call.useful_until - now_) *
       (onward ? kOnwardZoneTolerance : kZoneTolerance));
@@ -245,8 +255,7 @@
     case wire::Outcome::ANSWERED: {
       ++call.runs;
       bool failed = static_cast<int>(outcome->status()) >= kServerError;
-      if (failed && call.organisation.empty())
-        last_call_failure_ = now_;
+      CountOnwardEnd(call, failed, failed && outcome->calls_overloaded());
       // If its calls fail, so would those of another target.
       if (failed && !outcome->calls_failing() && MayRepeat(call) &&
           retries_.Take(call.service, NodeCount(), now_)) {
@@ -263,6 +272,7 @@
       break;
     case wire::Outcome::SHED:
       // The request has reached a target, so a further one counts as a repeat.
+      call.shed = true;
       if (!retries_.Take(call.service, NodeCount(), now_)) {
         Refuse(call, Reason::kOverload, SpreadRetryAfter(kUnknownHint));
         return;
@@ -279,6 +289,8 @@
       }
       break;
   }
+  if (outcome->kind() != wire::Outcome::NOT_RUN)
+    call.forward->set_repeat(true);
   LogLine(LogCode::kCallRetried,
           {{"request_id", call.forward->request_id()},
            {"organisation", call.organisation},
@@ -290,9 +302,14 @@
 
 void Node::Refuse(Call& call, Reason reason, milliseconds retry_after) {
   bool not_run = !call.may_have_run;
-  if (call.organisation.empty())
-    last_call_failure_ = now_;
-  if (not_run && !call.organisation.empty() && reason != Reason::kOverRate)
+  if (calls_.contains(call.id)) {
+    // A target that sheds below its slots is at fault itself: fewer requests
+    // would not help.
+    bool overloaded = !call.shed && (reason == Reason::kOverload ||
+                                     reason == Reason::kDeadline);
+    CountOnwardEnd(call, true, overloaded);
+  }
+  if (not_run && call.took_token)
     rate_share_.GiveBack(call.organisation);
   RefuseCaller refuse{call.id, call.forward->request_id(), reason, not_run};
   if (not_run && InfoOf(reason).retry_after)
@@ -319,6 +336,28 @@
   }
 }
 
+bool Node::AdmittedByThrottle(const Call& call) {
+  // Work was done for onward calls already.
+  if (call.forward->onward())
+    return true;
+  uint32_t importance = call.forward->importance();
+  call_throttle_.Learn(call.service, importance,
+                       placement_.FailedCalls(call.service, importance), now_);
+  return call_throttle_.Admits(
+      call.service, importance,
+      std::uniform_real_distribution<double>(0, 1)(random_));
+}
+
+void Node::CountOnwardEnd(const Call& call, bool failed, bool overloaded) {
+  if (!call.forward->onward())
+    return;
+  call_failures_.Count(call.forward->importance(), overloaded, now_);
+  if (failed)
+    last_call_failure_ = now_;
+  if (overloaded)
+    last_call_overload_ = now_;
+}
+
 milliseconds Node::SpreadRetryAfter(microseconds base) {
   auto hint = std::clamp(std::chrono::duration_cast<milliseconds>(base),
                          kShortestHint, kLongestHint);
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "comfreylock/config.h"
 #include "crypto.h"
 #include "mesh/node.h"
 
@@ -61,6 +62,7 @@
   offered.organisation = work.forward->organisation();
   offered.route = work.forward->route();
   offered.importance = work.forward->importance();
+  offered.onward = work.forward->onward();
   offered.useful_until = now_ + milliseconds(work.forward->useful_ms());
   offered.deadline = work.deadline;
   auto link = links_.find(work.link);
@@ -154,6 +156,7 @@
       break;
   }
   outcome->set_calls_failing(now_ - last_call_failure_ < kCallFailureTime);
+  outcome->set_calls_overloaded(now_ - last_call_overload_ < kCallFailureTime);
   OnTargetFailure(work, result);
   Apply(queue_.Finish(event.work, result.success, now_));
   Reply(work, std::move(outcome));
@@ -371,8 +374,16 @@
                    (!stopping_ || now_ - stop_since_ < kServeWhileStopping));
   load.set_slots(queue_.slots());
   load.set_in_flight(queue_.in_flight());
-  for (uint32_t count : queue_.queued_by_importance())
-    load.add_queued(count);
+  load.set_queued(queue_.queued());
+  for (uint32_t importance = 0; importance < kImportanceClasses; ++importance) {
+    auto wait = [this, importance](bool onward) {
+      return static_cast<uint32_t>(
+          queue_.ExpectedWait(importance, onward).count());
+    };
+    load.add_call_wait_us(wait(true));
+    load.add_request_wait_us(wait(false));
+    load.add_failed_calls_permille(call_failures_.Permille(importance, now_));
+  }
   load.set_service_time_us(
       static_cast<uint32_t>(queue_.mean_service_time().count()));
   load.set_failure_permille(
--- a/src/mesh/placement.cc
+++ b/src/mesh/placement.cc
@@ -19,6 +19,7 @@
 constexpr double kFailureWeight = 4.0;
 /// Cost factor of a target that is still cold.
 constexpr double kColdFactor = 1.5;
+constexpr double kPermille = 1000;
 /// Random part of the cost, so that nodes with the same news do not all choose
 /// the same target.
 constexpr double kSpread = 0.15;
@@ -139,21 +140,41 @@
   choice.service = TimeOf(target, request.route);
   if (choice.service.count() == 0)
     choice.service = typical;
-  uint32_t ahead = target.sent_since_load;
-  for (int lane = 0; lane < target.load.queued_size() &&
-                     lane <= static_cast<int>(request.importance);
-       ++lane) {
-    ahead += target.load.queued(lane);
-  }
+  const auto& waits = request.onward ? target.load.call_wait_us()
+                                     : target.load.request_wait_us();
+  int lane = std::min(static_cast<int>(request.importance), waits.size() - 1);
+  if (lane >= 0)
+    choice.wait = microseconds(waits[lane]);
+  // What was sent since the node told its load is not part of it.
   uint32_t slots = target.load.slots();
-  uint32_t used = target.load.in_flight() + ahead;
+  uint32_t used = target.load.in_flight() + target.sent_since_load;
   if (used >= slots) {
-    choice.wait = microseconds(target.load.service_time_us()) *
-                  (used - slots + 1) / slots;
+    choice.wait += microseconds(target.load.service_time_us()) *
+                   (used - std::max(target.load.in_flight(), slots) + 1) /
+                   slots;
   }
   return choice;
 }
 
+double Placement::FailedCalls(std::string_view service,
+                              uint32_t importance) const {
+  auto nodes = by_service_.find(service);
+  if (nodes == by_service_.end())
+    return 0;
+  double sum = 0;
+  int count = 0;
+  for (const NodeId& node : nodes->second) {
+    const wire::Load& load = targets_.at(node).load;
+    if (!Usable(targets_.at(node)) || load.failed_calls_permille().empty())
+      continue;
+    int lane = std::min(static_cast<int>(importance),
+                        load.failed_calls_permille_size() - 1);
+    sum += load.failed_calls_permille(lane);
+    ++count;
+  }
+  return count == 0 ? 0 : sum / count / kPermille;
+}
+
 double Placement::Cost(const Choice& choice,
                        const Target& target,
                        const Request& request) {
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -52,6 +52,7 @@
     std::string_view service;
     std::string_view route;
     uint32_t importance = 0;
+    bool onward = false;
     /// Time that an answer from another availability zone may take longer, so
     /// that traffic stays in the zone while that costs callers nothing.
     std::chrono::microseconds zone_tolerance{0};
@@ -62,6 +63,10 @@
   std::optional<Choice> Choose(const Request& request,
                                std::span<const NodeId> tried);
 
+  /// @return the part of the calls of a service's targets that failed of late,
+  ///     for requests of this importance; the mean over its nodes.
+  double FailedCalls(std::string_view service, uint32_t importance) const;
+
   /// @return whether any target of the service serves at present.
   bool Serves(std::string_view service) const;
 
--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -6,10 +6,9 @@
 namespace comfreylock::mesh {
 namespace {
 
-/// Part of the bound that each node uses for repeats of its own. A repeated
-/// request repeats its calls at the services below, which count there too: four
-/// services in a row stay within the bound.
-constexpr double kUsedPart = 0.25;
+/// Part of the bound that is used. The rest is for calls of repeated requests,
+/// which are charged but not held back.
+constexpr double kUsedPart = 0.6;
 
 }  // namespace
 
@@ -42,6 +41,11 @@
   counts.requests[static_cast<size_t>(counts.part % kParts)] += 1;
 }
 
+void RetryAllowance::Charge(std::string_view service, TimePoint now) {
+  Counts& counts = Roll(service, now);
+  counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
+}
+
 bool RetryAllowance::Take(std::string_view service,
                           size_t nodes,
                           TimePoint now) {
--- a/src/mesh/retry_allowance.h
+++ b/src/mesh/retry_allowance.h
@@ -35,6 +35,9 @@
   /// Counts a request for `service` that began at this node.
   void CountRequest(std::string_view service, TimePoint now);
 
+  /// Counts a repeat that is not asked for: a call of a repeated request.
+  void Charge(std::string_view service, TimePoint now);
+
   /// Takes one repeat.
   /// @param nodes number of nodes that share the slack.
   /// @return false if the window's repeats are used up.
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -13,6 +13,9 @@
 /// covers durations above the mean and the way back to the caller.
 constexpr double kUsableTime = 0.9;
 
+/// Part of the target's time that calls get while others of the same importance
+/// wait too. Others keep a part, so that no route is starved by calls.
+constexpr double kCallShare = 0.75;
 /// Routes whose times are told, and how long after their last request.
 constexpr size_t kMostRoutes = 16;
 constexpr std::chrono::seconds kRouteKept{10};
@@ -32,11 +35,11 @@
   }
   microseconds service = service_time_.Expected(work.route, now);
   if (running_.size() < slots_ && queue_.size() == 0) {
-    running_[work.work] = {work.route, now};
+    running_[work.work] = {work.route, work.onward, now};
     changes.start.push_back(work.work);
     return changes;
   }
-  microseconds wait = ExpectedWait(work.importance);
+  microseconds wait = ExpectedWait(work.importance, work.onward);
   TimePoint useful = std::min(work.useful_until, work.deadline);
   double left = static_cast<double>((useful - now).count()) * kUsableTime;
   if (static_cast<double>((wait + service).count()) > left) {
@@ -45,14 +48,18 @@
   }
   WorkItem item;
   item.work = work.work;
-  item.organisation = work.organisation;
+  item.organisation = work.onward ? "" : work.organisation;
   item.route = work.route;
   item.importance = LaneOf(work.importance);
   // The latest start with which the answer has its full worth.
   item.deadline = useful - service;
+  Waiting& lane = lanes_[LaneOf(work.importance)];
+  ++lane.count[work.onward];
+  if (!work.onward)
+    ++lane.organisations[work.organisation];
+  item.weight = WeightOf(work, service);
   queue_.Push(item, now);
   waiting_[work.work] = work;
-  ++queued_by_importance_[LaneOf(work.importance)];
   StartReady(changes, now);
   return changes;
 }
@@ -69,7 +76,8 @@
     service_time_.Record(found->second.route, took, now);
     routes_[found->second.route] = now;
     auto sample = static_cast<double>(took.count());
-    mean_us_ += mean_us_ == 0 ? sample : kMeanGain * (sample - mean_us_);
+    for (double* mean : {&mean_us_, &mean_of_kind_us_[found->second.onward]})
+      *mean += *mean == 0 ? sample : kMeanGain * (sample - *mean);
   }
   running_.erase(found);
   StartReady(changes, now);
@@ -116,14 +124,34 @@
   return microseconds(static_cast<int64_t>(mean_us_));
 }
 
-microseconds TargetQueue::ExpectedWait(uint32_t importance) const {
-  uint32_t ahead = 0;
-  for (uint32_t lane = 0; lane <= LaneOf(importance); ++lane)
-    ahead += queued_by_importance_[lane];
-  if (running_.size() < slots_)
+microseconds TargetQueue::ExpectedWait(uint32_t importance, bool onward) const {
+  if (running_.size() < slots_ || slots_ == 0)
     return microseconds(0);
-  return microseconds(
-      static_cast<int64_t>(mean_us_ * (ahead + 1) / std::max(slots_, 1u)));
+  uint32_t lane = LaneOf(importance);
+  double ahead_us = mean_us_;
+  for (uint32_t i = 0; i < lane; ++i) {
+    for (size_t kind = 0; kind < 2; ++kind)
+      ahead_us += lanes_[i].count[kind] * mean_of_kind_us_[kind];
+  }
+  const Waiting& own = lanes_[lane];
+  bool contended = own.count[!onward] > 0;
+  double share = onward ? kCallShare : 1 - kCallShare;
+  ahead_us +=
+      own.count[onward] * mean_of_kind_us_[onward] / (contended ? share : 1);
+  return microseconds(static_cast<int64_t>(ahead_us / slots_));
+}
+
+/// The queue divides starts by weight; dividing by the service time makes that
+/// a division of the target's time.
+double TargetQueue::WeightOf(const OfferedWork& work,
+                             microseconds service) const {
+  double share = kCallShare;
+  if (!work.onward) {
+    const Waiting& own = lanes_[LaneOf(work.importance)];
+    size_t organisations = std::max<size_t>(own.organisations.size(), 1);
+    share = (1 - kCallShare) / static_cast<double>(organisations);
+  }
+  return share / std::max(static_cast<double>(service.count()), 1000.0);
 }
 
 void TargetQueue::StartReady(Changes& changes, TimePoint now) {
@@ -131,8 +159,9 @@
     auto item = queue_.Pop(false);
     if (!item)
       return;
+    bool onward = waiting_.at(item->work).onward;
     Forget(item->work);
-    running_[item->work] = {item->route, now};
+    running_[item->work] = {item->route, onward, now};
     changes.start.push_back(item->work);
   }
 }
@@ -141,7 +170,11 @@
   auto found = waiting_.find(work);
   if (found == waiting_.end())
     return;
-  --queued_by_importance_[LaneOf(found->second.importance)];
+  const OfferedWork& work_item = found->second;
+  Waiting& lane = lanes_[LaneOf(work_item.importance)];
+  --lane.count[work_item.onward];
+  if (!work_item.onward && --lane.organisations[work_item.organisation] == 0)
+    lane.organisations.erase(work_item.organisation);
   waiting_.erase(found);
 }
 
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -18,9 +18,10 @@
 ///
 /// Load pattern: offered work beyond the target's slots for seconds, with some
 /// targets that never answer what they cannot queue. A request waits only if it
-/// can still be answered while its answer has its full worth; the most
-/// important request runs first, and organisations take turns within one
-/// importance.
+/// can still be answered while its answer has its full worth. The most
+/// important request runs first. Within one importance, calls that running
+/// requests make get most of the target's time, since work was done for them
+/// already, and organisations share the rest evenly.
 namespace comfreylock::mesh {
 
 /// A request offered to the target.
@@ -29,6 +30,7 @@
   std::string organisation;
   std::string route;
   uint32_t importance = 0;
+  bool onward = false;     ///< A call that a running request makes.
   TimePoint useful_until;  ///< The answer has its full worth until then.
   TimePoint deadline;
 };
@@ -63,9 +65,9 @@
   uint32_t slots() const { return slots_; }
   uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
   uint32_t queued() const { return static_cast<uint32_t>(queue_.size()); }
-  const std::array<uint32_t, kImportanceClasses>& queued_by_importance() const {
-    return queued_by_importance_;
-  }
+  /// @return how long a further request of this kind would wait.
+  std::chrono::microseconds ExpectedWait(uint32_t importance,
+                                         bool onward) const;
 
   /// @return expected times of the routes that ran of late.
   std::vector<std::pair<std::string, std::chrono::microseconds>> RouteTimes(
@@ -77,11 +79,18 @@
  private:
   struct Running {
     std::string route;
+    bool onward = false;
     TimePoint since;
   };
 
-  /// @return how long a request of this importance would wait.
-  std::chrono::microseconds ExpectedWait(uint32_t importance) const;
+  /// Waiting requests of one importance: calls, and others.
+  struct Waiting {
+    std::array<uint32_t, 2> count{};
+    std::map<std::string, uint32_t> organisations;
+  };
+
+  double WeightOf(const OfferedWork& work,
+                  std::chrono::microseconds service) const;
   void StartReady(Changes& changes, TimePoint now);
   void Forget(WorkId work);
 
@@ -89,10 +98,11 @@
   FairQueue queue_;
   std::unordered_map<WorkId, OfferedWork> waiting_;
   std::unordered_map<WorkId, Running> running_;
-  std::array<uint32_t, kImportanceClasses> queued_by_importance_{};
+  std::array<Waiting, kImportanceClasses> lanes_;
   ServiceTime service_time_;
   std::map<std::string, TimePoint> routes_;  ///< When each ran last.
   double mean_us_ = 0;
+  std::array<double, 2> mean_of_kind_us_{};  ///< Of others, and of calls.
 };
 
 }  // namespace comfreylock::mesh
