Stopping nodes serve their target until shortly before they exit

Cause: a rolling restart took two of three targets of a service out at a time, each for 4.5 s; calls waited so long that their requests timed out.

--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -12,9 +12,13 @@
 constexpr milliseconds kIdleTick = 100ms;
 /// Interval while requests wait beside the target.
 constexpr milliseconds kQueueTick = 20ms;
-/// A stopping node exits once no caller has sent anything for this time:
-/// clients stop after two failed readiness checks, one second apart.
-constexpr milliseconds kQuietBeforeStop = 2500ms;
+/// A stopping node goes on for this time at least: clients stop after two
+/// failed readiness checks, one second apart.
+constexpr milliseconds kLeastStopTime = 2100ms;
+/// It then exits once no caller has sent anything for this time.
+constexpr milliseconds kQuietBeforeStop = 700ms;
+/// A little before, it takes no more work of others, so that what runs can end.
+constexpr milliseconds kLastWorkBeforeStop = 600ms;
 /// Before the end of the grace time, what is left for closing connections.
 constexpr milliseconds kStopMargin = 400ms;
 /// Part of the time for withdrawn keys within which a node without news still
@@ -101,8 +105,9 @@
   last_pass_ = now_;
   if (!stopping_ || stopped_)
     return;
-  bool quiet = calls_.empty() && works_.empty() &&
-               now_ - std::max(last_call_, stop_since_) >= kQuietBeforeStop;
+  if (now_ >= ExpectedStop() - kLastWorkBeforeStop)
+    refuses_work_ = true;
+  bool quiet = calls_.empty() && works_.empty() && now_ >= ExpectedStop();
   if (quiet || now_ - stop_since_ >= identity_.bounds.grace - kStopMargin) {
     stopped_ = true;
     LogLine(LogCode::kNodeStopped, {{"calls", std::to_string(calls_.size())}});
@@ -110,6 +115,10 @@
   }
 }
 
+TimePoint Node::ExpectedStop() const {
+  return std::max(stop_since_ + kLeastStopTime, last_call_ + kQuietBeforeStop);
+}
+
 void Node::On(const ShutdownRequested& /*event*/) {
   if (std::exchange(stopping_, true))
     return;
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -172,6 +172,9 @@
   void On(const TimePassed& event);
   void On(const ShutdownRequested& event);
 
+  /// @return when a stopping node exits if no caller sends anything more.
+  TimePoint ExpectedStop() const;
+
   // Calls (node_calls.cc).
   Reason Classify(Call& call, const CallerRequest& request);
   const std::string& PickService(const Route& route);
@@ -299,7 +302,8 @@
 
   bool stopping_ = false;
   TimePoint stop_since_;
-  TimePoint last_call_;  ///< Last request of a caller.
+  TimePoint last_call_;        ///< Last request of a caller.
+  bool refuses_work_ = false;  ///< About to stop.
   bool stopped_ = false;
 };
 
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -28,7 +28,7 @@
 /// Hint while nothing is known of when the cause ends.
 constexpr milliseconds kUnknownHint = 500ms;
 /// Hint while a service further down cannot carry more.
-constexpr milliseconds kThrottledHint = 700ms;
+constexpr milliseconds kThrottledHint = 500ms;
 /// Time before the deadline at which the answer must be on its way.
 constexpr milliseconds kAnswerMargin = 5ms;
 /// Time after the start of a graceful stop for which callers' requests are
@@ -38,14 +38,11 @@
 /// longer; smaller for calls, of which a request makes several in a row.
 constexpr double kZoneTolerance = 0.1;
 constexpr double kOnwardZoneTolerance = 0.03;
-/// Part of the time left that the expected wait and service may take.
-constexpr double kUsableTime = 0.9;
 constexpr int kServerError = 500;
 
 }  // namespace
 
 void Node::On(const RequestArrived& event) {
-  last_call_ = now_;
   Call call;
   call.id = event.call;
   call.forward = event.request.forward;
@@ -55,6 +52,9 @@
     Refuse(call, reason, kUnknownHint);
     return;
   }
+  // The target's own calls go on as long as it works for others.
+  if (!call.forward->onward())
+    last_call_ = now_;
   if (stopping_ && now_ - stop_since_ > kTakeWhileStopping) {
     Refuse(call, Reason::kDraining, kShortestHint);
     return;
@@ -64,7 +64,12 @@
     return;
   }
   if (!AdmittedByThrottle(call)) {
-    Refuse(call, Reason::kOverload, SpreadRetryAfter(kThrottledHint));
+    // The smaller the admitted part, the longer until there is room.
+    double admitted =
+        call_throttle_.AdmittedPart(call.service, call.forward->importance());
+    auto hint = std::chrono::duration_cast<microseconds>(
+        kThrottledHint * (1 + (1 - admitted) / (2 * admitted)));
+    Refuse(call, Reason::kOverload, SpreadRetryAfter(hint));
     return;
   }
   if (!call.organisation.empty()) {
@@ -201,7 +206,7 @@
   auto wait = static_cast<double>(choice->wait.count());
   auto service = static_cast<double>(choice->service.count());
   bool too_late = choice->wait.count() > 0
-                      ? wait + service > useful * kUsableTime
+                      ? wait + service > useful * UsableTime(onward)
                       : left <= 0;
   if (too_late) {
     Refuse(call, Reason::kOverload, SpreadRetryAfter(choice->wait));
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -31,9 +31,6 @@
 constexpr milliseconds kIdleLoadInterval = 1000ms;
 /// Time after the last request for which a link counts as busy.
 constexpr milliseconds kBusyTime = 3000ms;
-/// A stopping node still takes work of others for this time: its target is as
-/// good as before, and requests that are in progress end before it exits.
-constexpr milliseconds kServeWhileStopping = 1000ms;
 constexpr int kServerError = 500;
 constexpr double kPermille = 1000;
 /// Time for which a failed call of the target explains its own failures.
@@ -370,8 +367,7 @@
 
 wire::Load Node::OwnLoad() const {
   wire::Load load;
-  load.set_serving(TargetServes() &&
-                   (!stopping_ || now_ - stop_since_ < kServeWhileStopping));
+  load.set_serving(TargetServes() && !refuses_work_);
   load.set_slots(queue_.slots());
   load.set_in_flight(queue_.in_flight());
   load.set_queued(queue_.queued());
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -12,6 +12,10 @@
 /// Part of the time left that wait and service may take together. The rest
 /// covers durations above the mean and the way back to the caller.
 constexpr double kUsableTime = 0.9;
+/// The same for calls that running requests make. A request makes several in a
+/// row, so that each may take but a part; one that cannot be served soon is
+/// better refused before more work is done for it.
+constexpr double kUsableTimeOfCalls = 0.3;
 
 /// Part of the target's time that calls get while others of the same importance
 /// wait too. Others keep a part, so that no route is starved by calls.
@@ -26,6 +30,10 @@
 
 }  // namespace
 
+double UsableTime(bool onward) {
+  return onward ? kUsableTimeOfCalls : kUsableTime;
+}
+
 TargetQueue::Changes TargetQueue::Offer(const OfferedWork& work,
                                         TimePoint now) {
   Changes changes;
@@ -41,7 +49,8 @@
   }
   microseconds wait = ExpectedWait(work.importance, work.onward);
   TimePoint useful = std::min(work.useful_until, work.deadline);
-  double left = static_cast<double>((useful - now).count()) * kUsableTime;
+  double left =
+      static_cast<double>((useful - now).count()) * UsableTime(work.onward);
   if (static_cast<double>((wait + service).count()) > left) {
     changes.refuse.push_back(work.work);
     return changes;
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -35,6 +35,9 @@
   TimePoint deadline;
 };
 
+/// @return the part of the time left that wait and service may take together.
+double UsableTime(bool onward);
+
 class TargetQueue {
  public:
   /// Decisions about requests, in order.
