Keep slots for the calls that are expected

Cause: with one lotbook target left, requests of 1.8 s took its slots and short calls waited for them; chains failed after parts of them had run. Change: two kinds of work beside a target; slots are kept for calls by their arrivals times their service time, a tenth for others.

--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -374,7 +374,7 @@
   for (uint32_t importance = 0; importance < kImportanceClasses; ++importance) {
     auto wait = [this, importance](bool onward) {
       return static_cast<uint32_t>(
-          queue_.ExpectedWait(importance, onward).count());
+          queue_.ExpectedWait(importance, onward, now_).count());
     };
     load.add_call_wait_us(wait(true));
     load.add_request_wait_us(wait(false));
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -1,13 +1,14 @@
 #include "mesh/target_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace comfreylock::mesh {
 namespace {
 
 using std::chrono::microseconds;
 
-/// Weight of a new duration in the mean service time.
+/// Weight of a new duration in a mean service time.
 constexpr double kMeanGain = 0.05;
 /// Part of the time left that wait and service may take together. The rest
 /// covers durations above the mean and the way back to the caller.
@@ -16,10 +17,15 @@
 /// row, so that each may take but a part; one that cannot be served soon is
 /// better refused before more work is done for it.
 constexpr double kUsableTimeOfCalls = 0.3;
-
-/// Part of the target's time that calls get while others of the same importance
-/// wait too. Others keep a part, so that no route is starved by calls.
-constexpr double kCallShare = 0.9;
+/// Part of the slots that calls may take while others wait, and the same for
+/// others while calls are expected.
+constexpr double kMostForCalls = 0.9;
+constexpr double kLeastForRequests = 0.1;
+/// Slots kept for calls, as a multiple of those that they use on average:
+/// arrivals times service time.
+constexpr double kCallReserve = 1.4;
+/// Time over which offers are counted.
+constexpr std::chrono::seconds kArrivalWindow{1};
 /// Routes whose times are told, and how long after their last request.
 constexpr size_t kMostRoutes = 16;
 constexpr std::chrono::seconds kRouteKept{10};
@@ -41,17 +47,22 @@
     changes.refuse.push_back(work.work);
     return changes;
   }
+  Kind kind = KindOf(work);
+  KindState& state = kinds_[kind];
+  state.arrivals = ArrivalsPerSecond(state, now) + 1;
+  state.counted = now;
   microseconds service = service_time_.Expected(work.route, now);
-  if (running_.size() < slots_ && queue_.size() == 0) {
-    running_[work.work] = {work.route, work.onward, now};
+  if (waiting_.empty() && HasRoom(kind, now)) {
+    Begin(work.work, work.route, kind, now);
     changes.start.push_back(work.work);
     return changes;
   }
-  microseconds wait = ExpectedWait(work.importance, work.onward);
+  microseconds wait = ExpectedWait(work.importance, work.onward, now);
   TimePoint useful = std::min(work.useful_until, work.deadline);
   double left =
       static_cast<double>((useful - now).count()) * UsableTime(work.onward);
-  if (static_cast<double>((wait + service).count()) > left) {
+  bool too_late = static_cast<double>((wait + service).count()) > left;
+  if (wait.count() > 0 && too_late) {
     changes.refuse.push_back(work.work);
     return changes;
   }
@@ -62,12 +73,8 @@
   item.importance = LaneOf(work.importance);
   // The latest start with which the answer has its full worth.
   item.deadline = useful - service;
-  Waiting& lane = lanes_[LaneOf(work.importance)];
-  ++lane.count[work.onward];
-  if (!work.onward)
-    ++lane.organisations[work.organisation];
-  item.weight = WeightOf(work, service);
-  queue_.Push(item, now);
+  state.queue.Push(item, now);
+  ++state.waiting[item.importance];
   waiting_[work.work] = work;
   StartReady(changes, now);
   return changes;
@@ -80,12 +87,14 @@
   auto found = running_.find(work);
   if (found == running_.end())
     return changes;
+  KindState& state = kinds_[found->second.kind];
+  --state.running;
   if (learn) {
     microseconds took = now - found->second.since;
     service_time_.Record(found->second.route, took, now);
     routes_[found->second.route] = now;
     auto sample = static_cast<double>(took.count());
-    for (double* mean : {&mean_us_, &mean_of_kind_us_[found->second.onward]})
+    for (double* mean : {&mean_us_, &state.mean_us})
       *mean += *mean == 0 ? sample : kMeanGain * (sample - *mean);
   }
   running_.erase(found);
@@ -93,28 +102,22 @@
   return changes;
 }
 
-std::vector<std::pair<std::string, microseconds>> TargetQueue::RouteTimes(
-    TimePoint now) const {
-  std::vector<std::pair<std::string, microseconds>> times;
-  for (const auto& [route, ran] : routes_) {
-    if (now - ran < kRouteKept && times.size() < kMostRoutes)
-      times.emplace_back(route, service_time_.Expected(route, ran));
-  }
-  return times;
-}
-
 bool TargetQueue::Remove(WorkId work) {
-  if (!queue_.Remove(work))
+  auto found = waiting_.find(work);
+  if (found == waiting_.end())
     return false;
+  kinds_[KindOf(found->second)].queue.Remove(work);
   Forget(work);
   return true;
 }
 
 TargetQueue::Changes TargetQueue::Advance(TimePoint now) {
   Changes changes;
-  while (auto late = queue_.PopPastDeadline(now)) {
-    Forget(late->work);
-    changes.refuse.push_back(late->work);
+  for (KindState& state : kinds_) {
+    while (auto late = state.queue.PopPastDeadline(now)) {
+      Forget(late->work);
+      changes.refuse.push_back(late->work);
+    }
   }
   StartReady(changes, now);
   return changes;
@@ -122,9 +125,11 @@
 
 TargetQueue::Changes TargetQueue::Clear() {
   Changes changes;
-  while (auto item = queue_.Pop(false)) {
-    Forget(item->work);
-    changes.refuse.push_back(item->work);
+  for (KindState& state : kinds_) {
+    while (auto item = state.queue.Pop(false)) {
+      Forget(item->work);
+      changes.refuse.push_back(item->work);
+    }
   }
   return changes;
 }
@@ -133,44 +138,87 @@
   return microseconds(static_cast<int64_t>(mean_us_));
 }
 
-microseconds TargetQueue::ExpectedWait(uint32_t importance, bool onward) const {
-  if (running_.size() < slots_ || slots_ == 0)
-    return microseconds(0);
-  uint32_t lane = LaneOf(importance);
-  double ahead_us = mean_us_;
-  for (uint32_t i = 0; i < lane; ++i) {
-    for (size_t kind = 0; kind < 2; ++kind)
-      ahead_us += lanes_[i].count[kind] * mean_of_kind_us_[kind];
+std::vector<std::pair<std::string, microseconds>> TargetQueue::RouteTimes(
+    TimePoint now) const {
+  std::vector<std::pair<std::string, microseconds>> times;
+  for (const auto& [route, ran] : routes_) {
+    if (now - ran < kRouteKept && times.size() < kMostRoutes)
+      times.emplace_back(route, service_time_.Expected(route, ran));
   }
-  const Waiting& own = lanes_[lane];
-  bool contended = own.count[!onward] > 0;
-  double share = onward ? kCallShare : 1 - kCallShare;
-  ahead_us +=
-      own.count[onward] * mean_of_kind_us_[onward] / (contended ? share : 1);
-  return microseconds(static_cast<int64_t>(ahead_us / slots_));
-}
-
-/// The queue divides starts by weight; dividing by the service time makes that
-/// a division of the target's time.
-double TargetQueue::WeightOf(const OfferedWork& work,
-                             microseconds service) const {
-  double share = kCallShare;
-  if (!work.onward) {
-    const Waiting& own = lanes_[LaneOf(work.importance)];
-    size_t organisations = std::max<size_t>(own.organisations.size(), 1);
-    share = (1 - kCallShare) / static_cast<double>(organisations);
+  return times;
+}
+
+double TargetQueue::ArrivalsPerSecond(const KindState& state, TimePoint now) {
+  std::chrono::duration<double> passed = now - state.counted;
+  std::chrono::duration<double> window = kArrivalWindow;
+  return state.arrivals * std::exp(-passed.count() / window.count());
+}
+
+uint32_t TargetQueue::SlotsFor(Kind kind, TimePoint now) const {
+  double slots = slots_;
+  if (kind == kCall) {
+    bool others = kinds_[kRequest].running > 0 || kinds_[kRequest].queue.size();
+    return others ? std::max(1u, static_cast<uint32_t>(slots * kMostForCalls))
+                  : slots_;
+  }
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const KindState& calls = kinds_[kCall];
+  double used =
+      ArrivalsPerSecond(calls, now) * calls.mean_us / kMicrosecondsPerSecond;
+  double left = slots - std::ceil(used * kCallReserve);
+  return static_cast<uint32_t>(
+      std::max({1.0, slots * kLeastForRequests, left}));
+}
+
+bool TargetQueue::HasRoom(Kind kind, TimePoint now) const {
+  return running_.size() < slots_ && kinds_[kind].running < SlotsFor(kind, now);
+}
+
+TargetQueue::Kind TargetQueue::NextKind(TimePoint now) const {
+  bool call = HasRoom(kCall, now);
+  bool request = HasRoom(kRequest, now);
+  for (uint32_t lane = 0; lane < kImportanceClasses; ++lane) {
+    if (call && kinds_[kCall].waiting[lane] > 0)
+      return kCall;
+    if (request && kinds_[kRequest].waiting[lane] > 0)
+      return kRequest;
   }
-  return share / std::max(static_cast<double>(service.count()), 1000.0);
+  return kKinds;
+}
+
+microseconds TargetQueue::ExpectedWait(uint32_t importance,
+                                       bool onward,
+                                       TimePoint now) const {
+  Kind kind = onward ? kCall : kRequest;
+  if (HasRoom(kind, now) || slots_ == 0)
+    return microseconds(0);
+  const KindState& state = kinds_[kind];
+  uint32_t ahead = 1;
+  for (uint32_t lane = 0; lane <= LaneOf(importance); ++lane)
+    ahead += state.waiting[lane];
+  double mean = state.mean_us > 0 ? state.mean_us : mean_us_;
+  uint32_t servers = std::max(1u, std::max(state.running, SlotsFor(kind, now)));
+  return microseconds(static_cast<int64_t>(mean * ahead / servers));
+}
+
+void TargetQueue::Begin(WorkId work,
+                        const std::string& route,
+                        Kind kind,
+                        TimePoint now) {
+  running_[work] = {route, kind, now};
+  ++kinds_[kind].running;
 }
 
 void TargetQueue::StartReady(Changes& changes, TimePoint now) {
   while (running_.size() < slots_) {
-    auto item = queue_.Pop(false);
+    Kind kind = NextKind(now);
+    if (kind == kKinds)
+      return;
+    auto item = kinds_[kind].queue.Pop(false);
     if (!item)
       return;
-    bool onward = waiting_.at(item->work).onward;
     Forget(item->work);
-    running_[item->work] = {item->route, onward, now};
+    Begin(item->work, item->route, kind, now);
     changes.start.push_back(item->work);
   }
 }
@@ -179,11 +227,7 @@
   auto found = waiting_.find(work);
   if (found == waiting_.end())
     return;
-  const OfferedWork& work_item = found->second;
-  Waiting& lane = lanes_[LaneOf(work_item.importance)];
-  --lane.count[work_item.onward];
-  if (!work_item.onward && --lane.organisations[work_item.organisation] == 0)
-    lane.organisations.erase(work_item.organisation);
+  --kinds_[KindOf(found->second)].waiting[LaneOf(found->second.importance)];
   waiting_.erase(found);
 }
 
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "comfreylock/config.h"
@@ -19,9 +20,11 @@
 /// Load pattern: offered work beyond the target's slots for seconds, with some
 /// targets that never answer what they cannot queue. A request waits only if it
 /// can still be answered while its answer has its full worth. The most
-/// important request runs first. Within one importance, calls that running
-/// requests make get most of the target's time, since work was done for them
-/// already, and organisations share the rest evenly.
+/// important request runs first; within one importance organisations take
+/// turns, and calls that running requests make go before others, since work was
+/// done for them already. Long requests would block short calls for their whole
+/// duration, so slots are kept for the calls that are expected, and a few for
+/// others, so that no route is starved.
 namespace comfreylock::mesh {
 
 /// A request offered to the target.
@@ -67,10 +70,12 @@
 
   uint32_t slots() const { return slots_; }
   uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
-  uint32_t queued() const { return static_cast<uint32_t>(queue_.size()); }
+  uint32_t queued() const { return static_cast<uint32_t>(waiting_.size()); }
+
   /// @return how long a further request of this kind would wait.
   std::chrono::microseconds ExpectedWait(uint32_t importance,
-                                         bool onward) const;
+                                         bool onward,
+                                         TimePoint now) const;
 
   /// @return expected times of the routes that ran of late.
   std::vector<std::pair<std::string, std::chrono::microseconds>> RouteTimes(
@@ -80,32 +85,45 @@
   std::chrono::microseconds mean_service_time() const;
 
  private:
+  /// Calls that running requests make, and all others.
+  enum Kind : size_t { kRequest, kCall, kKinds };
+
   struct Running {
     std::string route;
-    bool onward = false;
+    Kind kind = kRequest;
     TimePoint since;
   };
 
-  /// Waiting requests of one importance: calls, and others.
-  struct Waiting {
-    std::array<uint32_t, 2> count{};
-    std::map<std::string, uint32_t> organisations;
+  /// The requests of one kind.
+  struct KindState {
+    FairQueue queue;
+    std::array<uint32_t, kImportanceClasses> waiting{};
+    uint32_t running = 0;
+    double mean_us = 0;   ///< Smoothed time at the target.
+    double arrivals = 0;  ///< Decaying count of offers.
+    TimePoint counted;
   };
 
-  double WeightOf(const OfferedWork& work,
-                  std::chrono::microseconds service) const;
+  static Kind KindOf(const OfferedWork& work) {
+    return work.onward ? kCall : kRequest;
+  }
+  static double ArrivalsPerSecond(const KindState& state, TimePoint now);
+  /// @return how many requests of a kind may run at a time.
+  uint32_t SlotsFor(Kind kind, TimePoint now) const;
+  bool HasRoom(Kind kind, TimePoint now) const;
+  /// @return the kind whose request starts next, or `kKinds`.
+  Kind NextKind(TimePoint now) const;
+  void Begin(WorkId work, const std::string& route, Kind kind, TimePoint now);
   void StartReady(Changes& changes, TimePoint now);
   void Forget(WorkId work);
 
   uint32_t slots_ = 0;
-  FairQueue queue_;
+  std::array<KindState, kKinds> kinds_;
   std::unordered_map<WorkId, OfferedWork> waiting_;
   std::unordered_map<WorkId, Running> running_;
-  std::array<Waiting, kImportanceClasses> lanes_;
   ServiceTime service_time_;
   std::map<std::string, TimePoint> routes_;  ///< When each ran last.
   double mean_us_ = 0;
-  std::array<double, 2> mean_of_kind_us_{};  ///< Of others, and of calls.
 };
 
 }  // namespace comfreylock::mesh
