Do not run requests whose caller left or that waited on their way

Change: a connection's end is looked for before its requests are taken; forwarded requests carry the sender's clock, and one that waited over 0.4 s beyond the usual is refused as not run; late wake-ups refuse new requests.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -146,6 +146,11 @@
             return;
           }
           buffer_.commit(bytes);
+          // Under load a request may be read after its client has left.
+          if (HasEnded(socket_)) {
+            Close();
+            return;
+          }
           Parse();
           // A client that sends far ahead is not read, but its close is seen
           // once the answers before are written.
@@ -400,7 +405,8 @@
     if (error == asio::error::operation_aborted)
       return;
     if (!error) {
-      SetSocketOptions(socket, kClientSilence);
+      error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       auto connection = std::make_shared<Connection>(*this, std::move(socket));
       connections_[connection.get()] = connection;
       connection->Start();
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -124,9 +124,12 @@
     NodeId node;
     bool accepted = false;
     bool open = false;
-    TimePoint last_load;               ///< When this node last told its load.
-    TimePoint last_received;           ///< Last frame of the other node.
-    TimePoint last_forward;            ///< Last request in either direction.
+    TimePoint last_load;      ///< When this node last told its load.
+    TimePoint last_received;  ///< Last frame of the other node.
+    TimePoint last_forward;   ///< Last request in either direction.
+    /// Smallest difference between the clocks of arrival and sending so far:
+    /// what a request takes beyond it, it has waited on the way.
+    std::optional<int64_t> clock_offset_us;
     std::map<uint64_t, CallId> calls;  ///< Requests sent on it.
     std::map<uint64_t, WorkId> works;  ///< Requests received on it.
   };
@@ -200,6 +203,9 @@
 
   // Works (node_works.cc).
   void Accept(Work work);
+  /// @return how long a received request has waited on its way.
+  std::chrono::microseconds DelayOf(Link& link,
+                                    const wire::Forward& forward) const;
   Reason WhyNotAccepted(const Work& work) const;
   void Apply(const TargetQueue::Changes& changes);
   void Start(WorkId id);
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -237,6 +237,8 @@
   link.calls[call.stream] = call.id;
   link.last_forward = now_;
   call.forward->set_stream(call.stream);
+  call.forward->set_sent_us(
+      static_cast<uint64_t>(now_.time_since_epoch().count()));
   effects_.push_back(SendForward{call.link, call.forward});
 }
 
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -7,6 +7,7 @@
 namespace comfreylock::mesh {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 /// Keys of the nodes' records in the store.
@@ -27,6 +28,8 @@
 /// second.
 constexpr milliseconds kBusySilence = 1300ms;
 constexpr milliseconds kIdleSilence = 3500ms;
+/// Requests that took longer to arrive are not run.
+constexpr milliseconds kLongestDelay = 400ms;
 /// A longer time between two wake-ups means that this process stood still.
 constexpr milliseconds kStandstill = 400ms;
 /// Interval at which demand is reported to the holders of rates.
@@ -451,6 +454,16 @@
       link.last_forward = now_;
       Work work{WorkId{++last_id_}, event.link, frame.forward().stream()};
       work.forward = std::shared_ptr<wire::Forward>(frame.release_forward());
+      // Its caller may have left while it waited on a full link or at a node
+      // without processor time.
+      microseconds delay = DelayOf(link, *work.forward);
+      if (delay > kLongestDelay) {
+        ReplyWithout(work, wire::Outcome::NOT_RUN, "delayed");
+        return;
+      }
+      auto left = milliseconds(work.forward->remaining_ms()) - delay;
+      work.forward->set_remaining_ms(static_cast<uint32_t>(std::max<int64_t>(
+          0, std::chrono::duration_cast<milliseconds>(left).count())));
       Accept(std::move(work));
       return;
     }
@@ -489,6 +502,14 @@
   }
 }
 
+microseconds Node::DelayOf(Link& link, const wire::Forward& forward) const {
+  int64_t offset =
+      now_.time_since_epoch().count() - static_cast<int64_t>(forward.sent_us());
+  link.clock_offset_us =
+      std::min(link.clock_offset_us.value_or(offset), offset);
+  return microseconds(offset - *link.clock_offset_us);
+}
+
 NodeId Node::RateHolderFor(const std::string& organisation) const {
   size_t parts = 1 + NodeCount() / kNodesPerHolder;
   std::string part = std::to_string(Hash(organisation) % parts);
--- a/src/mesh/shell.cc
+++ b/src/mesh/shell.cc
@@ -17,6 +17,10 @@
                                            .silence = kTargetSilenceLimit,
                                            .idle = 4000ms};
 
+/// Lateness of a wake-up above which new requests are refused, and their hint.
+constexpr milliseconds kMostLag = 250ms;
+constexpr milliseconds kLagHint = 800ms;
+
 wire::Hello HelloOf(const NodeIdentity& identity) {
   wire::Hello hello;
   hello.set_node(identity.node);
@@ -80,6 +84,13 @@
 }
 
 void Shell::OnRequest(CallId call, HttpRequest request) {
+  if (lag_ > kMostLag) {
+    // Without processor time for all, requests that are in progress end first.
+    RefuseCaller refusal{call, "", Reason::kOverload};
+    refusal.retry_after = kLagHint;
+    callers_.Respond(call, caller_dialect_.Encode(refusal));
+    return;
+  }
   auto decoded = caller_dialect_.Decode(std::move(request));
   if (!decoded) {
     RefuseCaller refusal{call, "", Reason::kMalformed};
@@ -120,6 +131,7 @@
   wake_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
+    lag_ = std::chrono::duration_cast<milliseconds>(ReadClock() - wake_at_);
     wake_at_ = TimePoint();
     Feed(TimePassed{});
     log_.Flush();
--- a/src/mesh/shell.h
+++ b/src/mesh/shell.h
@@ -93,6 +93,7 @@
   Metrics metrics_;
   asio::steady_timer wake_;
   TimePoint wake_at_;
+  std::chrono::milliseconds lag_{0};  ///< Lateness of the last wake-up.
   std::deque<EventBody> events_;
   bool feeding_ = false;
   bool listening_ = false;
--- a/src/mesh/socket_options.cc
+++ b/src/mesh/socket_options.cc
@@ -22,6 +22,11 @@
              sizeof(value));
 }
 
+bool HasEnded(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  return recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 asio::ip::tcp::acceptor ListenOn(asio::io_context& context,
                                  const std::string& address) {
   auto endpoint = ParseEndpoint(address);
