Spend repeats on the most important requests first

Change: less important requests may use a part of the repeats; a target that shed a request may be asked again once all others were.

--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -102,7 +102,8 @@
     NodeId node;          ///< Where it is now.
     LinkId link;          ///< 0 for this host's own target.
     uint64_t stream = 0;  /// On `link`, or the number of the local work.
-    uint32_t runs = 0;    ///< Targets that may have run it.
+    uint32_t placements = 0;
+    uint32_t runs = 0;  ///< Targets that may have run it.
     bool may_have_run = false;
     bool shed = false;        ///< A target has refused it.
     bool took_token = false;  ///< Of its organisation's rate.
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -20,8 +20,8 @@
 /// A node that has not heard from the store for this time does not refuse a key
 /// or route for good: it may have missed one that was added.
 constexpr milliseconds kDefiniteAge = 1800ms;
-/// Nodes that may refuse one request before it is refused to the caller.
-constexpr size_t kMostPlacements = 4;
+/// Placements of one request after which it is refused to the caller.
+constexpr uint32_t kMostPlacements = 6;
 /// Bounds of the hint to refused callers.
 constexpr milliseconds kShortestHint = 100ms;
 constexpr milliseconds kLongestHint = 2000ms;
@@ -195,7 +195,7 @@
       (call.useful_until - now_) *
       (onward ? kOnwardZoneTolerance : kZoneTolerance));
   auto choice = placement_.Choose(request, call.tried);
-  if (!choice || call.tried.size() >= kMostPlacements) {
+  if (!choice || ++call.placements > kMostPlacements) {
     bool any = placement_.Serves(call.service);
     Refuse(call, any ? Reason::kOverload : Reason::kNoTarget,
            SpreadRetryAfter(kUnknownHint));
@@ -265,7 +265,8 @@
       CountOnwardEnd(call, failed, failed && outcome->calls_overloaded());
       // If its calls fail, so would those of another target.
       if (failed && !outcome->calls_failing() && MayRepeat(call) &&
-          retries_.Take(call.service, NodeCount(), now_)) {
+          retries_.Take(call.service, call.forward->importance(), NodeCount(),
+                        now_)) {
         call.may_have_run = true;
         break;
       }
@@ -279,8 +280,12 @@
       break;
     case wire::Outcome::SHED:
       // The request has reached a target, so a further one counts as a repeat.
+      // A target that sheds a part may take the request the next time.
+      if (!placement_.HasOther(call.service, call.tried))
+        call.tried.clear();
       call.shed = true;
-      if (!retries_.Take(call.service, NodeCount(), now_)) {
+      if (!retries_.Take(call.service, call.forward->importance(), NodeCount(),
+                         now_)) {
         Refuse(call, Reason::kOverload, SpreadRetryAfter(kUnknownHint));
         return;
       }
@@ -288,7 +293,9 @@
     default:
       ++call.runs;
       call.may_have_run = true;
-      if (!MayRepeat(call) || !retries_.Take(call.service, NodeCount(), now_)) {
+      if (!MayRepeat(call) ||
+          !retries_.Take(call.service, call.forward->importance(), NodeCount(),
+                         now_)) {
         bool late = now_ >= call.deadline || outcome->reason() == "deadline";
         Refuse(call, late ? Reason::kDeadline : Reason::kTargetFailed,
                milliseconds(0));
--- a/src/mesh/placement.cc
+++ b/src/mesh/placement.cc
@@ -124,11 +124,13 @@
   return best;
 }
 
-bool Placement::Serves(std::string_view service) const {
+bool Placement::HasOther(std::string_view service,
+                         std::span<const NodeId> tried) const {
   auto nodes = by_service_.find(service);
   return nodes != by_service_.end() &&
-         std::ranges::any_of(nodes->second, [this](const NodeId& node) {
-           return Usable(targets_.at(node));
+         std::ranges::any_of(nodes->second, [&](const NodeId& node) {
+           return Usable(targets_.at(node)) &&
+                  std::ranges::find(tried, node) == tried.end();
          });
 }
 
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -67,8 +67,11 @@
   ///     for requests of this importance; the mean over its nodes.
   double FailedCalls(std::string_view service, uint32_t importance) const;
 
+  /// @return whether a target of the service serves that was not tried.
+  bool HasOther(std::string_view service, std::span<const NodeId> tried) const;
+
   /// @return whether any target of the service serves at present.
-  bool Serves(std::string_view service) const;
+  bool Serves(std::string_view service) const { return HasOther(service, {}); }
 
  private:
   struct Target {
--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -10,6 +10,9 @@
 /// which are charged but not held back.
 constexpr double kUsedPart = 0.6;
 
+/// Part of the repeats that requests of each importance may use.
+constexpr std::array<double, 3> kPartOf = {1.0, 0.6, 0.35};
+
 }  // namespace
 
 RetryAllowance::Counts& RetryAllowance::Roll(std::string_view service,
@@ -47,6 +50,7 @@
 }
 
 bool RetryAllowance::Take(std::string_view service,
+                          uint32_t importance,
                           size_t nodes,
                           TimePoint now) {
   Counts& counts = Roll(service, now);
@@ -55,7 +59,8 @@
   double repeats =
       std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0.0);
   double slack = bound_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
-  if (repeats + 1 > kUsedPart * (bound_.ratio * requests + slack))
+  double part = kPartOf[std::min<size_t>(importance, kPartOf.size() - 1)];
+  if (repeats + 1 > kUsedPart * part * (bound_.ratio * requests + slack))
     return false;
   counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
   return true;
