--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -17,10 +17,10 @@
 /// row, so that each may take but a part; one that cannot be served soon is
 /// better refused before more work is done for it.
 constexpr double kUsableTimeOfCalls = 0.3;
-/// Part of the slots that calls may take while others wait, and the same for
-/// others while calls are expected.
-constexpr double kMostForCalls = 0.9;
-constexpr double kLeastForRequests = 0.1;
+/// Part of the slots that calls may take while others of their importance wait,
+/// and that is left to others while calls are expected.
+constexpr double kMostForCalls = 0.8;
+constexpr double kLeastForRequests = 0.2;
 /// Slots kept for calls, as a multiple of those that they use on average:
 /// arrivals times service time.
 constexpr double kCallReserve = 1.4;
@@ -157,7 +157,7 @@
 uint32_t TargetQueue::SlotsFor(Kind kind, TimePoint now) const {
   double slots = slots_;
   if (kind == kCall) {
-    bool others = kinds_[kRequest].running > 0 || kinds_[kRequest].queue.size();
+    bool others = kinds_[kRequest].queue.size() > 0;
     return others ? std::max(1u, static_cast<uint32_t>(slots * kMostForCalls))
                   : slots_;
   }
@@ -177,8 +177,11 @@
 TargetQueue::Kind TargetQueue::NextKind(TimePoint now) const {
   bool call = HasRoom(kCall, now);
   bool request = HasRoom(kRequest, now);
+  bool requests_before = false;
   for (uint32_t lane = 0; lane < kImportanceClasses; ++lane) {
-    if (call && kinds_[kCall].waiting[lane] > 0)
+    requests_before |= kinds_[kRequest].waiting[lane] > 0;
+    // Less important requests do not hold up calls.
+    if ((call || !requests_before) && kinds_[kCall].waiting[lane] > 0)
       return kCall;
     if (request && kinds_[kRequest].waiting[lane] > 0)
       return kRequest;
--- /dev/null
+++ b/tests/mesh/decisions_test.cc
@@ -0,0 +1,314 @@
+#include <algorithm>
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "mesh/call_throttle.h"
+#include "mesh/placement.h"
+#include "mesh/rate_share.h"
+#include "mesh/retry_allowance.h"
+
+/// Decision modules of the entry, each with the load pattern that it answers.
+namespace comfreylock::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+wire::Load LoadOf(uint32_t slots, uint32_t in_flight, microseconds time) {
+  wire::Load load;
+  load.set_serving(true);
+  load.set_slots(slots);
+  load.set_in_flight(in_flight);
+  load.set_service("shop");
+  load.set_service_time_us(static_cast<uint32_t>(time.count()));
+  auto* route = load.add_route_times();
+  route->set_route("read");
+  route->set_time_us(static_cast<uint32_t>(time.count()));
+  return load;
+}
+
+class PlacementTest : public testing::Test {
+ protected:
+  PlacementTest() : placement_("zone-a", 7) {
+    for (const char* node : {"a", "b", "c"})
+      placement_.SetNode(node, "shop", std::string("zone-") + node);
+  }
+
+  std::map<NodeId, int> Place(int count, microseconds tolerance = 0us) {
+    std::map<NodeId, int> placed;
+    for (int i = 0; i < count; ++i) {
+      auto choice =
+          placement_.Choose({"shop", "read", 1, false, tolerance}, {});
+      if (choice)
+        ++placed[choice->node];
+    }
+    return placed;
+  }
+
+  Placement placement_;
+  TimePoint now_{10s};
+};
+
+TEST_F(PlacementTest, ChoosesNobodyBeforeANodeToldItsLoad) {
+  EXPECT_FALSE(placement_.Choose({"shop", "read"}, {}));
+  EXPECT_FALSE(placement_.Serves("shop"));
+}
+
+TEST_F(PlacementTest, PrefersTheFastTarget) {
+  placement_.Learn("a", LoadOf(50, 0, 300ms), now_);
+  placement_.Learn("b", LoadOf(50, 0, 100ms), now_);
+  placement_.Learn("c", LoadOf(50, 0, 300ms), now_);
+  EXPECT_EQ(Place(20)["b"], 20);
+}
+
+TEST_F(PlacementTest, UsesSlowTargetsBeforeTheFastOneIsFull) {
+  placement_.Learn("a", LoadOf(50, 0, 160ms), now_);
+  placement_.Learn("b", LoadOf(50, 46, 100ms), now_);
+  EXPECT_GE(Place(20)["a"], 15);
+}
+
+// Guards against one target that gets nearly all: the mean time over all routes
+// of a target with long requests says nothing of its speed.
+TEST_F(PlacementTest, ComparesTheTimesOfTheRequestsRoute) {
+  wire::Load longer = LoadOf(50, 0, 100ms);
+  longer.set_service_time_us(900'000);
+  wire::Load shorter = LoadOf(50, 0, 150ms);
+  shorter.set_service_time_us(60'000);
+  placement_.Learn("a", longer, now_);
+  placement_.Learn("b", shorter, now_);
+  EXPECT_EQ(Place(20)["a"], 20);
+}
+
+TEST_F(PlacementTest, StaysInItsZoneWhileThatCostsNothing) {
+  placement_.Learn("a", LoadOf(50, 5, 150ms), now_);
+  placement_.Learn("b", LoadOf(50, 0, 100ms), now_);
+  EXPECT_EQ(Place(20, 150ms)["a"], 20);
+  EXPECT_EQ(Place(20, 1ms)["b"], 20);
+}
+
+TEST_F(PlacementTest, AvoidsATargetThatFailsAPart) {
+  wire::Load grey = LoadOf(50, 0, 100ms);
+  grey.set_failure_permille(500);
+  placement_.Learn("a", grey, now_);
+  placement_.Learn("b", LoadOf(50, 0, 150ms), now_);
+  EXPECT_EQ(Place(20)["b"], 20);
+}
+
+// A slowdown of the whole service must not turn everybody out.
+TEST_F(PlacementTest, StillChoosesWhenAllFail) {
+  for (const char* node : {"a", "b", "c"}) {
+    wire::Load grey = LoadOf(50, 0, 2000ms);
+    grey.set_failure_permille(900);
+    placement_.Learn(node, grey, now_);
+  }
+  auto placed = Place(300);
+  EXPECT_EQ(placed["a"] + placed["b"] + placed["c"], 300);
+}
+
+TEST_F(PlacementTest, CountsWhatItSentSinceTheNews) {
+  for (const char* node : {"a", "b", "c"})
+    placement_.Learn(node, LoadOf(10, 0, 100ms), now_);
+  std::map<NodeId, int> placed;
+  for (int i = 0; i < 30; ++i) {
+    auto choice = placement_.Choose({"shop", "read"}, {});
+    ASSERT_TRUE(choice);
+    placement_.OnSent(choice->node);
+    ++placed[choice->node];
+  }
+  for (const auto& [node, count] : placed)
+    EXPECT_GE(count, 7) << node;
+}
+
+TEST_F(PlacementTest, LeavesOutUnreachableAndTriedNodes) {
+  for (const char* node : {"a", "b", "c"})
+    placement_.Learn(node, LoadOf(10, 0, 100ms), now_);
+  placement_.SetUnreachable("a");
+  std::vector<NodeId> tried = {"b"};
+  auto choice = placement_.Choose({"shop", "read"}, tried);
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->node, "c");
+  EXPECT_TRUE(placement_.HasOther("shop", tried));
+  tried.push_back("c");
+  EXPECT_FALSE(placement_.HasOther("shop", tried));
+}
+
+// A service below has room for a third of the calls: the entry must find the
+// part that it can carry, and let all through again soon after the overload.
+TEST(CallThrottleTest, FindsWhatTheServiceBelowCarriesAndRecovers) {
+  CallThrottle throttle;
+  TimePoint now(10s);
+  constexpr double kCarried = 0.33;
+  double sum = 0;
+  int rounds = 0;
+  for (; rounds < 100; ++rounds) {
+    now += CallThrottle::kInterval;
+    double admitted = throttle.AdmittedPart("shop", 2);
+    double failed = admitted > kCarried ? 1 - kCarried / admitted : 0;
+    throttle.Learn("shop", 2, failed, now);
+    if (rounds >= 50)
+      sum += admitted;
+  }
+  EXPECT_NEAR(sum / 50, kCarried, 0.15);
+  for (int i = 0; i < 25; ++i) {
+    now += CallThrottle::kInterval;
+    throttle.Learn("shop", 2, 0, now);
+  }
+  EXPECT_DOUBLE_EQ(throttle.AdmittedPart("shop", 2), 1);
+}
+
+TEST(CallThrottleTest, KeepsImportancesApart) {
+  CallThrottle throttle;
+  TimePoint now(10s);
+  for (int i = 0; i < 20; ++i) {
+    now += CallThrottle::kInterval;
+    throttle.Learn("shop", 2, 0.9, now);
+    throttle.Learn("shop", 0, 0, now);
+  }
+  EXPECT_DOUBLE_EQ(throttle.AdmittedPart("shop", 0), 1);
+  EXPECT_LT(throttle.AdmittedPart("shop", 2), 0.2);
+}
+
+TEST(CallFailuresTest, FewCallsSayNothing) {
+  CallFailures failures;
+  TimePoint now(10s);
+  failures.Count(1, true, now);
+  EXPECT_EQ(failures.Permille(1, now), 0u);
+  for (int i = 0; i < 9; ++i)
+    failures.Count(1, true, now);
+  EXPECT_EQ(failures.Permille(1, now), 1000u);
+  EXPECT_EQ(failures.Permille(1, now + 5s), 0u);
+}
+
+// A service that fails everything must not get more repeats than its bound.
+TEST(RetryAllowanceTest, RepeatsStayWithinTheWindow) {
+  RetryAllowance allowance({.ratio = 0.2, .slack = 48, .window = 10s});
+  TimePoint now(100s);
+  std::vector<std::pair<TimePoint, bool>> log;
+  for (int i = 0; i < 6000; ++i) {
+    now += 10ms;
+    allowance.CountRequest("shop", now);
+    log.emplace_back(now, allowance.Take("shop", 0, 12, now));
+  }
+  // Any window of 10 s, with a twelfth of the slack.
+  for (size_t begin = 0; begin + 1000 <= log.size(); begin += 100) {
+    auto first = log.begin() + static_cast<std::ptrdiff_t>(begin);
+    auto taken = std::count_if(first, first + 1000,
+                               [](const auto& item) { return item.second; });
+    EXPECT_LE(taken, 0.2 * 1000 + 48.0 / 12);
+  }
+}
+
+TEST(RetryAllowanceTest, ImportantRequestsMayUseMore) {
+  RetryAllowance allowance({.ratio = 0.2, .slack = 0, .window = 10s});
+  TimePoint now(100s);
+  for (int i = 0; i < 100; ++i)
+    allowance.CountRequest("shop", now);
+  int low = 0;
+  while (allowance.Take("shop", 2, 1, now))
+    ++low;
+  int high = 0;
+  while (allowance.Take("shop", 0, 1, now))
+    ++high;
+  EXPECT_GT(low, 0);
+  EXPECT_GT(high, low);
+}
+
+TEST(RetryAllowanceTest, CallsOfRepeatedRequestsAreCharged) {
+  RetryAllowance allowance({.ratio = 0.2, .slack = 0, .window = 10s});
+  TimePoint now(100s);
+  for (int i = 0; i < 100; ++i)
+    allowance.CountRequest("shop", now);
+  for (int i = 0; i < 20; ++i)
+    allowance.Charge("shop", now);
+  EXPECT_FALSE(allowance.Take("shop", 0, 1, now));
+}
+
+/// Twelve nodes and a holder; each node asks for a token at its own pace.
+class RateModel {
+ public:
+  explicit RateModel(double rate, double burst) {
+    config_.version = 1;
+    config_.organisations["acme"] = {"acme", std::nullopt, rate, burst};
+  }
+
+  /// @param per_second offered at each node.
+  /// @param heard nodes below this index reach the holder.
+  /// @return admitted requests.
+  int Run(const std::vector<double>& per_second,
+          milliseconds time,
+          size_t heard) {
+    int admitted = 0;
+    nodes_.resize(per_second.size());
+    owed_.resize(per_second.size());
+    for (milliseconds t{0}; t < time; t += 1ms) {
+      now_ += 1ms;
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        owed_[i] += per_second[i] / 1000;
+        while (owed_[i] >= 1) {
+          owed_[i] -= 1;
+          ++offered_;
+          const auto& limits = config_.organisations.at("acme");
+          if (nodes_[i].Take(limits, nodes_.size(), now_).count() == 0)
+            ++admitted;
+        }
+        if (t.count() % 200 != 0 || i >= heard)
+          continue;
+        nodes_[i].Apply(
+            holder_.OnDemand("node" + std::to_string(i), nodes_[i].Demand(now_),
+                             config_, nodes_.size(), now_),
+            now_);
+      }
+    }
+    return admitted;
+  }
+
+  int offered() const { return offered_; }
+
+ private:
+  FleetConfig config_;
+  RateHolder holder_;
+  std::vector<RateShare> nodes_;
+  std::vector<double> owed_;
+  TimePoint now_{100s};
+  int offered_ = 0;
+};
+
+// One organisation sends seven times its rate at all nodes.
+TEST(RateShareTest, AFloodStaysWithinRateAndBurst) {
+  RateModel model(48, 48);
+  int admitted = model.Run(std::vector<double>(12, 28), 5s, 12);
+  EXPECT_LE(admitted, (48 * 5 + 48) * 1.1 + 20);
+  EXPECT_GE(admitted, 48 * 5 * 0.9);
+}
+
+TEST(RateShareTest, AnUnevenDemandWithinTheRateIsServed) {
+  RateModel model(48, 48);
+  std::vector<double> demand(12, 0);
+  demand[0] = 20;
+  demand[1] = 10;
+  model.Run(demand, 2s, 12);
+  int before = model.offered();
+  int admitted = model.Run(demand, 10s, 12);
+  EXPECT_GE(admitted, 0.99 * (model.offered() - before));
+}
+
+// Nodes without news from the holder use a fixed part, and all together stay
+// within the bound.
+TEST(RateShareTest, NodesThatAreCutOffStayWithinTheBound) {
+  RateModel model(48, 48);
+  model.Run(std::vector<double>(12, 28), 5s, 12);
+  int admitted = model.Run(std::vector<double>(12, 28), 5s, 8);
+  EXPECT_LE(admitted, (48 * 5 + 48) * 1.1 + 20);
+}
+
+TEST(RateShareTest, WithoutALimitEverythingIsAdmitted) {
+  RateShare share;
+  OrganisationLimits limits{"acme", std::nullopt, 0, 0};
+  for (int i = 0; i < 1000; ++i)
+    EXPECT_EQ(share.Take(limits, 12, TimePoint(1s)).count(), 0);
+}
+
+}  // namespace
+}  // namespace comfreylock::mesh
--- /dev/null
+++ b/tests/mesh/fleet_model.cc
@@ -0,0 +1,310 @@
+#include "fleet_model.h"
+
+#include <algorithm>
+
+namespace comfreylock::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr microseconds kHop = 1000us;
+constexpr milliseconds kStep = 10ms;
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+
+std::string NameOf(size_t node) {
+  return "node" + std::to_string(node);
+}
+
+}  // namespace
+
+FleetModel::FleetModel(std::vector<ModelRoute> routes,
+                       std::vector<ModelTarget> targets)
+    : routes_(std::move(routes)) {
+  auto config = std::make_shared<FleetConfig>();
+  config->version = 1;
+  for (const ModelRoute& from : routes_) {
+    Route route;
+    route.name = from.name;
+    route.prefix = "/" + from.name + "/";
+    route.services = {{from.service, 1}};
+    route.idempotent = from.idempotent;
+    route.open = from.open;
+    route.importance = from.importance;
+    route.max_attempts = 2;
+    route.timeout = from.timeout;
+    route.target_latency = from.latency;
+    config->hosts["h"].push_back(route);
+    config->services.insert(from.service);
+  }
+  config->organisations["acme"] = {"acme"};
+  config->keys["key"] = "acme";
+  config->SortRoutes();
+  for (size_t i = 0; i < targets.size(); ++i) {
+    auto state = std::make_unique<State>();
+    state->target = targets[i];
+    NodeIdentity identity;
+    identity.node = NameOf(i);
+    identity.service = targets[i].service;
+    identity.zone = targets[i].zone;
+    identity.peer_address = NameOf(i);
+    identity.target_address = "target" + std::to_string(i);
+    identity.seed = i + 1;
+    state->node = std::make_unique<Node>(identity, now_);
+    states_.push_back(std::move(state));
+  }
+  for (size_t i = 0; i < states_.size(); ++i) {
+    TargetReport report;
+    report.id = "target" + std::to_string(i);
+    report.service = targets[i].service;
+    report.address = report.id;
+    report.slots = targets[i].slots;
+    report.sequence = 1;
+    report.born = 1;
+    Feed(i, ConfigRead{config, now_});
+    Feed(i, TargetReported{report});
+    Feed(i, TimePassed{});
+  }
+  Run(500ms);
+}
+
+void FleetModel::Offer(const std::string& route, double per_second) {
+  loads_.push_back({route, per_second, 0});
+}
+
+void FleetModel::Leave(size_t target) {
+  TargetReport report;
+  report.id = "target" + std::to_string(target);
+  report.leaving = true;
+  Feed(target, TargetReported{report});
+}
+
+void FleetModel::Run(milliseconds time) {
+  TimePoint end = now_ + time;
+  while (now_ < end) {
+    TimePoint next = std::min(end, now_ + kStep);
+    while (!later_.empty() && later_.top().time <= next) {
+      Later later = later_.top();
+      later_.pop();
+      now_ = std::max(now_, later.time);
+      later.action();
+    }
+    now_ = next;
+    for (size_t i = 0; i < states_.size(); ++i) {
+      Feed(i, ConfigRead{nullptr, now_});
+      Feed(i, TimePassed{});
+    }
+    for (Load& load : loads_) {
+      load.owed += load.per_second * 0.01;
+      for (; load.owed >= 1; load.owed -= 1) {
+        // Requests of one step do not arrive at one moment.
+        microseconds delay(
+            std::uniform_int_distribution<int>(0, 9999)(random_));
+        size_t node = next_node_++ % states_.size();
+        std::string route = load.route;
+        After(delay, [this, route, node] {
+          Send(route, node, "r" + std::to_string(++last_id_), 5000ms, nullptr);
+        });
+      }
+    }
+  }
+}
+
+void FleetModel::After(microseconds delay, std::function<void()> action) {
+  later_.push({now_ + delay, ++order_, std::move(action)});
+}
+
+void FleetModel::Feed(size_t node, EventBody event) {
+  Effects effects = states_[node]->node->Reduce({now_, std::move(event)});
+  for (Effect& effect : effects)
+    Apply(node, effect);
+}
+
+const ModelRoute& FleetModel::RouteNamed(const std::string& name) const {
+  return *std::ranges::find(routes_, name, &ModelRoute::name);
+}
+
+void FleetModel::Send(const std::string& route,
+                      size_t node,
+                      const std::string& id,
+                      milliseconds deadline,
+                      std::function<void(bool ok)> done) {
+  RequestArrived event;
+  event.call = CallId{++last_id_};
+  event.request.host = "h";
+  event.request.key = RouteNamed(route).open ? "" : "key";
+  event.request.deadline = deadline;
+  event.request.forward = std::make_shared<wire::Forward>();
+  event.request.forward->set_request_id(id);
+  event.request.forward->set_method("GET");
+  event.request.forward->set_path("/" + route + "/x");
+  if (!done)
+    ++results_[route].sent;
+  callers_[{node, event.call.value}] = {route, now_, std::move(done)};
+  Feed(node, std::move(event));
+}
+
+void FleetModel::Apply(size_t node, Effect& effect) {
+  if (auto* ask = std::get_if<AskStore>(&effect)) {
+    // The store holds a record of each node.
+    StoreCallId call = ask->call;
+    StoreResult result = StoreTransactionResult{true, 1};
+    if (auto* range = std::get_if<StoreRange>(&ask->request)) {
+      StoreRangeResult found;
+      for (size_t i = 0; i < states_.size() && !range->range_end.empty(); ++i) {
+        wire::NodeRecord record;
+        record.mutable_node()->set_node(NameOf(i));
+        record.mutable_node()->set_service(states_[i]->target.service);
+        record.mutable_node()->set_zone(states_[i]->target.zone);
+        record.set_address(NameOf(i));
+        found.entries.push_back(
+            {"comfreylock/nodes/" + NameOf(i), record.SerializeAsString()});
+      }
+      result = found;
+    } else if (std::holds_alternative<StoreWatch>(ask->request)) {
+      return;
+    } else if (!std::holds_alternative<StoreTransaction>(ask->request)) {
+      result = StoreLeaseResult{1, 9s};
+    }
+    After(kHop, [this, node, call, result] {
+      Feed(node, StoreReplied{call, result});
+    });
+  } else if (auto* open = std::get_if<OpenLink>(&effect)) {
+    size_t peer = std::stoul(open->address.substr(4));
+    uint64_t accepted = (uint64_t{1} << 63) | ++last_id_;
+    links_[{node, open->link.value}] = {peer, accepted};
+    links_[{peer, accepted}] = {node, open->link.value};
+    LinkId link = open->link;
+    After(kHop, [this, node, peer, link, accepted] {
+      wire::Hello here;
+      here.set_node(NameOf(node));
+      wire::Hello there;
+      there.set_node(NameOf(peer));
+      Feed(peer, LinkOpened{LinkId{accepted}, here, true});
+      Feed(node, LinkOpened{link, there, false});
+    });
+  } else if (auto* frame = std::get_if<SendFrame>(&effect)) {
+    auto [peer, link] = links_.at({node, frame->link.value});
+    auto copy = std::make_shared<wire::Frame>(*frame->frame);
+    After(kHop, [this, peer, link, copy] {
+      Feed(peer, FrameReceived{LinkId{link}, copy});
+    });
+  } else if (auto* forward = std::get_if<SendForward>(&effect)) {
+    auto [peer, link] = links_.at({node, forward->link.value});
+    auto copy = std::make_shared<wire::Frame>();
+    *copy->mutable_forward() = *forward->forward;
+    After(kHop, [this, peer, link, copy] {
+      Feed(peer, FrameReceived{LinkId{link}, copy});
+    });
+  } else if (auto* run = std::get_if<RunOnTarget>(&effect)) {
+    StartRun(node, *run);
+  } else if (auto* abort = std::get_if<AbortOnTarget>(&effect)) {
+    auto found = runs_.find({node, abort->work.value});
+    if (found != runs_.end()) {
+      found->second->cancelled = true;
+      --states_[node]->running;
+      runs_.erase(found);
+    }
+  } else if (auto* answer = std::get_if<DeliverAnswer>(&effect)) {
+    auto caller = callers_.extract({node, answer->call.value}).mapped();
+    bool ok = answer->answer->status() == kOk;
+    if (caller.done) {
+      After(0us, [caller, ok] { caller.done(ok); });
+      return;
+    }
+    ModelResult& result = results_[caller.route];
+    if (!ok)
+      ++result.failed;
+    else if (now_ - caller.sent <= RouteNamed(caller.route).latency)
+      ++result.in_time;
+    else
+      ++result.late;
+  } else if (auto* refuse = std::get_if<RefuseCaller>(&effect)) {
+    auto caller = callers_.extract({node, refuse->call.value}).mapped();
+    if (caller.done) {
+      After(0us, [caller] { caller.done(false); });
+      return;
+    }
+    ModelResult& result = results_[caller.route];
+    ++(refuse->not_run ? result.refused : result.failed);
+    if (refuse->not_run) {
+      result.longest_refusal = std::max(
+          result.longest_refusal,
+          std::chrono::duration_cast<milliseconds>(now_ - caller.sent));
+    }
+  }
+}
+
+void FleetModel::StartRun(size_t node, const RunOnTarget& run) {
+  State& state = *states_[node];
+  const std::string& id = run.forward->request_id();
+  if (std::uniform_real_distribution<double>(0, 1)(random_) < state.shed) {
+    WorkId work = run.work;
+    After(kHop, [this, node, work] {
+      TargetResult result;
+      result.kind = TargetResult::Kind::kShed;
+      Feed(node, TargetAnswered{work, result});
+    });
+    return;
+  }
+  if (++run_counts_[id] > 1 && !run.forward->idempotent())
+    ++double_runs_;
+  ++state.running;
+  overfull_ =
+      std::max(overfull_, state.running - static_cast<int>(state.target.slots));
+  auto record = std::make_shared<Run1>(Run1{node});
+  runs_[{node, run.work.value}] = record;
+  const ModelRoute& route = RouteNamed(run.forward->route());
+  double spread = std::uniform_real_distribution<double>(0.6, 1.4)(random_);
+  microseconds work(static_cast<int64_t>(
+      spread * 1000.0 * static_cast<double>(route.work.count()) /
+      state.target.speed));
+  auto forward = run.forward;
+  WorkId id_of_work = run.work;
+  TimePoint deadline = run.deadline;
+  After(work, [this, node, id_of_work, forward, deadline, record] {
+    if (record->cancelled)
+      return;
+    MakeCalls(node, forward, deadline, 0,
+              [this, node, id_of_work, record](bool ok) {
+                if (!record->cancelled)
+                  EndRun(node, id_of_work, ok ? kOk : kServerError);
+              });
+  });
+}
+
+void FleetModel::MakeCalls(size_t node,
+                           std::shared_ptr<wire::Forward> request,
+                           TimePoint deadline,
+                           size_t next,
+                           std::function<void(bool ok)> done) {
+  const ModelRoute& route = RouteNamed(request->route());
+  if (next == route.calls.size()) {
+    done(true);
+    return;
+  }
+  auto left = std::chrono::duration_cast<milliseconds>(deadline - now_);
+  Send(route.calls[next], node,
+       request->request_id() + "." + std::to_string(++last_id_),
+       std::max(left, 1ms),
+       [this, node, request, deadline, next, done](bool ok) {
+         if (ok)
+           MakeCalls(node, request, deadline, next + 1, done);
+         else
+           done(false);
+       });
+}
+
+void FleetModel::EndRun(size_t node, WorkId work, int status) {
+  runs_.erase({node, work.value});
+  --states_[node]->running;
+  TargetResult result;
+  result.kind = TargetResult::Kind::kAnswered;
+  result.success = status == kOk;
+  result.status = status;
+  Feed(node, TargetAnswered{work, result});
+}
+
+}  // namespace comfreylock::mesh
