Keep a member whose record comes back while its old link closes

A member whose record had lapsed was removed with its link while its new record was being read; the address sanitizer shows the use after free in LearnMember. Change: the record counts before the old link is closed.

--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -274,6 +274,8 @@
     return;
   auto [found, added] = members_.try_emplace(node);
   Member& member = found->second;
+  // Before its link is closed: a member without record goes with its link.
+  member.recorded = true;
   bool restarted = !added && member.record.node().boot() < record.node().boot();
   bool moved = !added && member.record.address() != record.address();
   if (restarted || moved) {
@@ -283,7 +285,6 @@
     member.backoff = kFirstBackoff;
   }
   member.record = record;
-  member.recorded = true;
   placement_.SetNode(node, record.node().service(), record.node().zone());
   if (added) {
     LogLine(LogCode::kMemberChanged, {{"node", node},
--- /dev/null
+++ b/standins/standin_platform.cc
@@ -0,0 +1,369 @@
+#include "standin_platform.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "crypto.h"
+
+namespace comfreylock::standin {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds kTick = 20ms;
+constexpr milliseconds kReportInterval = 300ms;
+constexpr uint32_t kSlots = 8;
+constexpr std::string_view kRequestId = "X-Comfreylock-Request-Id";
+
+std::string Unescape(std::string_view text) {
+  std::string plain;
+  for (size_t i = 0; i < text.size(); ++i) {
+    int value = 0;
+    if (text[i] == '%' && i + 2 < text.size()) {
+      std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16);
+      plain += static_cast<char>(value);
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
+std::string Parameter(const std::string& query, const std::string& name) {
+  std::string padded = "&" + query;
+  size_t at = padded.find("&" + name + "=");
+  if (at == std::string::npos)
+    return "";
+  size_t begin = at + name.size() + 2;
+  return Unescape(padded.substr(begin, padded.find('&', begin) - begin));
+}
+
+int64_t Number(const std::string& text) {
+  int64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+KvStoreStandin::KvStoreStandin(boost::asio::io_context& context,
+                               const std::string& address)
+    : timer_(context),
+      server_(context,
+              {[this](CallId call, mesh::HttpRequest request) {
+                 OnRequest(call, request);
+               },
+               [this](CallId call) {
+                 std::erase_if(waiting_, [call](const Waiting& waiting) {
+                   return waiting.call == call;
+                 });
+               },
+               [] { return mesh::CallerLimits(); }}) {
+  server_.Listen(address);
+  Tick();
+}
+
+void KvStoreStandin::Put(const std::string& key, const std::string& value) {
+  Write(key, value, 0);
+  ServeWatches();
+}
+
+std::string KvStoreStandin::Get(const std::string& key) const {
+  auto found = items_.find(key);
+  return found == items_.end() ? "" : found->second.value;
+}
+
+void KvStoreStandin::Compact() {
+  history_.clear();
+  oldest_ = revision_ + 1;
+  ServeWatches();
+}
+
+void KvStoreStandin::OnRequest(CallId call, const mesh::HttpRequest& request) {
+  if (failure_ != 0) {
+    Answer(call, failure_, json::object());
+    return;
+  }
+  size_t mark = request.target.find('?');
+  std::string path = request.target.substr(0, mark);
+  std::string query =
+      mark == std::string::npos ? "" : request.target.substr(mark + 1);
+  json body = json::parse(request.body, nullptr, false);
+  ++(request.method == "GET" ? reads_ : writes_);
+  std::string last = path.substr(path.rfind('/') + 1);
+  if (path == "/v1/kv-key") {
+    OnKey(call, query);
+  } else if (path == "/v1/kv-range") {
+    OnRange(call, query);
+  } else if (path == "/v1/kv-watch") {
+    OnWatch(call, query);
+  } else if (path == "/v1/kv-txn") {
+    OnTransaction(call, body);
+  } else if (path == "/v1/kv-lease") {
+    milliseconds ttl(body.value("ttl_ms", 1000));
+    leases_[++last_lease_] = {ttl, Clock::now() + ttl};
+    Answer(call, 200, {{"lease", last_lease_}, {"ttl_ms", ttl.count()}});
+  } else if (path.starts_with("/v1/kv-keep/")) {
+    auto lease = leases_.find(Number(last));
+    if (lease == leases_.end()) {
+      Answer(call, 404, json::object());
+      return;
+    }
+    lease->second.end = Clock::now() + lease->second.ttl;
+    Answer(call, 200, {{"ttl_ms", lease->second.ttl.count()}});
+  } else if (path.starts_with("/v1/kv-lease-end/")) {
+    auto lease = leases_.find(Number(last));
+    if (lease != leases_.end())
+      lease->second.end = Clock::now();
+    Answer(call, 200, json::object());
+  } else {
+    Answer(call, 404, json::object());
+  }
+}
+
+json KvStoreStandin::Describe(const std::string& key, const Item& item) const {
+  return {{"key", key},
+          {"value", ToBase64(item.value)},
+          {"revision", item.revision},
+          {"created", item.created},
+          {"lease", item.lease}};
+}
+
+void KvStoreStandin::OnKey(CallId call, const std::string& query) {
+  std::string key = Parameter(query, "key");
+  auto found = items_.find(key);
+  json body =
+      found == items_.end() ? json::object() : Describe(key, found->second);
+  body["as_of"] = revision_;
+  Answer(call, found == items_.end() ? 404 : 200, body);
+}
+
+void KvStoreStandin::OnRange(CallId call, const std::string& query) {
+  constexpr size_t kPage = 3;  // Small, so that tests see pages.
+  std::string prefix = Parameter(query, "prefix");
+  std::string after = Parameter(query, "after");
+  json body = {
+      {"items", json::array()}, {"has_more", false}, {"as_of", revision_}};
+  for (const auto& [key, item] : items_) {
+    if (!key.starts_with(prefix) || key <= after)
+      continue;
+    if (body["items"].size() == kPage) {
+      body["has_more"] = true;
+      break;
+    }
+    body["items"].push_back(Describe(key, item));
+  }
+  Answer(call, 200, body);
+}
+
+void KvStoreStandin::OnWatch(CallId call, const std::string& query) {
+  milliseconds wait(Number(Parameter(query, "wait_ms")));
+  waiting_.push_back({call, Parameter(query, "prefix"),
+                      Number(Parameter(query, "after")), Clock::now() + wait});
+  ServeWatches();
+}
+
+void KvStoreStandin::OnTransaction(CallId call, const json& body) {
+  for (const json& row : body.at("expect")) {
+    auto found = items_.find(row.at("key").get<std::string>());
+    int64_t revision = found == items_.end() ? 0 : found->second.revision;
+    if (revision != row.at("revision").get<int64_t>()) {
+      Answer(call, 412, {{"items", json::array()}});
+      return;
+    }
+  }
+  for (const json& row : body.at("writes")) {
+    int64_t lease = row.value("lease", int64_t{0});
+    if (lease != 0 && !leases_.contains(lease)) {
+      Answer(call, 404, json::object());
+      return;
+    }
+  }
+  for (const json& row : body.at("writes")) {
+    Write(row.at("key").get<std::string>(),
+          FromBase64(row.at("value").get<std::string>()),
+          row.value("lease", int64_t{0}));
+  }
+  for (const json& key : body.at("deletes"))
+    Remove(key.get<std::string>());
+  ServeWatches();
+  if (lost_answers_ > 0) {
+    --lost_answers_;
+    return;
+  }
+  Answer(call, 200, {{"revision", revision_}});
+}
+
+void KvStoreStandin::Answer(CallId call, int status, const json& body) {
+  mesh::HttpAnswer answer;
+  answer.status = status;
+  answer.fields.emplace_back("Content-Type", "application/json");
+  answer.body = body.dump();
+  server_.Respond(call, std::move(answer));
+}
+
+void KvStoreStandin::Write(const std::string& key,
+                           const std::string& value,
+                           int64_t lease) {
+  Item& item = items_[key];
+  item.value = value;
+  item.revision = ++revision_;
+  item.lease = lease;
+  if (item.created == 0)
+    item.created = revision_;
+  history_.push_back({key, revision_, false});
+}
+
+void KvStoreStandin::Remove(const std::string& key) {
+  if (items_.erase(key) > 0)
+    history_.push_back({key, ++revision_, true});
+}
+
+json KvStoreStandin::EventsAfter(const std::string& prefix,
+                                 int64_t after) const {
+  json events = json::array();
+  for (const Change& change : history_) {
+    if (change.revision <= after || !change.key.starts_with(prefix))
+      continue;
+    auto item = items_.find(change.key);
+    if (change.removed) {
+      events.push_back({{"key", change.key},
+                        {"revision", change.revision},
+                        {"removed", true}});
+    } else if (item != items_.end()) {
+      events.push_back(Describe(change.key, item->second));
+    }
+  }
+  return events;
+}
+
+void KvStoreStandin::ServeWatches() {
+  auto now = Clock::now();
+  std::vector<Waiting> waiting = std::exchange(waiting_, {});
+  for (const Waiting& watch : waiting) {
+    if (watch.after + 1 < oldest_) {
+      Answer(watch.call, 410, json::object());
+      continue;
+    }
+    json events = EventsAfter(watch.prefix, watch.after);
+    if (events.empty() && now < watch.until) {
+      waiting_.push_back(watch);
+      continue;
+    }
+    Answer(watch.call, 200, {{"events", events}, {"as_of", revision_}});
+  }
+}
+
+void KvStoreStandin::Tick() {
+  auto now = Clock::now();
+  std::vector<std::string> lapsed;
+  for (const auto& [key, item] : items_) {
+    auto lease = leases_.find(item.lease);
+    if (item.lease != 0 && (lease == leases_.end() || lease->second.end <= now))
+      lapsed.push_back(key);
+  }
+  for (const std::string& key : lapsed)
+    Remove(key);
+  std::erase_if(leases_,
+                [now](const auto& lease) { return lease.second.end <= now; });
+  ServeWatches();
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Tick();
+  });
+}
+
+PlatformTargetStandin::PlatformTargetStandin(boost::asio::io_context& context,
+                                             std::string id,
+                                             std::string service,
+                                             const std::string& address,
+                                             const std::string& report_address)
+    : context_(context),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      address_(address),
+      born_(static_cast<uint64_t>(Clock::now().time_since_epoch() /
+                                  milliseconds(1))),
+      server_(context,
+              {[this](CallId call, mesh::HttpRequest request) {
+                 OnRequest(call, std::move(request));
+               },
+               [](CallId) {}, [] { return mesh::CallerLimits(); }}),
+      reporter_(context, report_address, {}),
+      timer_(context) {
+  server_.Listen(address);
+  ReportLater();
+}
+
+void PlatformTargetStandin::Report() {
+  json body = {{"service", service_}, {"address", address_},
+               {"zone", "a"},         {"version", "v1"},
+               {"slots", kSlots},     {"state", behaviour_.status},
+               {"warmup_left_ms", 0}, {"sequence", ++sequence_},
+               {"born", born_}};
+  mesh::HttpRequest request{"POST", "/v1/Instances.Heartbeat/" + id_};
+  request.body = body.dump();
+  request.has_body = true;
+  request.fields = {{"Host", "node"}, {"Content-Type", "application/json"}};
+  reporter_.Send(request, {.timeout = 1s}, [](mesh::ExchangeResult) {});
+}
+
+void PlatformTargetStandin::Leave() {
+  timer_.cancel();
+  mesh::HttpRequest request{"POST", "/v1/Instances.Deregister/" + id_};
+  request.has_body = true;
+  request.fields = {{"Host", "node"}};
+  reporter_.Send(request, {.timeout = 1s}, [](mesh::ExchangeResult) {});
+}
+
+void PlatformTargetStandin::ReportLater() {
+  Report();
+  timer_.expires_after(kReportInterval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      ReportLater();
+  });
+}
+
+void PlatformTargetStandin::OnRequest(CallId call, mesh::HttpRequest request) {
+  std::string id(
+      mesh::FindField(request.fields, kRequestId).value_or(std::string_view()));
+  mesh::HttpAnswer answer;
+  auto expected =
+      mesh::FindField(request.fields, "X-Comfreylock-Expected-Instance");
+  if (expected && *expected != id_) {
+    answer.status = 421;
+    answer.fields.emplace_back("X-Comfreylock-Instance-Id", id_);
+    server_.Respond(call, std::move(answer));
+    return;
+  }
+  if (behaviour_.sheds) {
+    answer.status = 503;
+    answer.fields.emplace_back("X-Comfreylock-Not-Executed", "1");
+    server_.Respond(call, std::move(answer));
+    return;
+  }
+  ++runs_[id];
+  last_fields_ = request.fields;
+  answer.fields.emplace_back(kRequestId, id);
+  if (!behaviour_.without_receipt)
+    answer.fields.emplace_back("X-Comfreylock-Server-Signature", "s." + id_);
+  answer.body =
+      "answer to " + id + " of " + std::to_string(request.body.size());
+  answer.close = behaviour_.fails;
+  if (behaviour_.fails)
+    answer.status = 500;
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, behaviour_.work);
+  timer->async_wait([this, timer, call, answer = std::move(answer)](
+                        boost::system::error_code) mutable {
+    server_.Respond(call, std::move(answer));
+  });
+}
+
+}  // namespace comfreylock::standin
--- /dev/null
+++ b/standins/standin_platform.h
@@ -0,0 +1,147 @@
+#ifndef COMFREYLOCK_STANDIN_PLATFORM_H_
+#define COMFREYLOCK_STANDIN_PLATFORM_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "mesh/http_client.h"
+#include "mesh/http_server.h"
+
+/// Stand-ins of the users' platform, written from its published pages: the
+/// metadata store, and targets that report to the node beside them. For tests
+/// and demos on loopback.
+namespace comfreylock::standin {
+
+/// The store: keys with revisions, watches, transactions and leases.
+class KvStoreStandin {
+ public:
+  KvStoreStandin(boost::asio::io_context& context, const std::string& address);
+
+  /// Writes a key as the operator does.
+  void Put(const std::string& key, const std::string& value);
+
+  /// @return the value, or an empty string.
+  std::string Get(const std::string& key) const;
+
+  /// From now on all calls get this status; 0: they are served.
+  void SetFailure(int status) { failure_ = status; }
+
+  /// The next writes are done, and their answers are lost.
+  void LoseAnswers(int count) { lost_answers_ = count; }
+
+  /// Forgets the history of changes; watches from before get 410.
+  void Compact();
+
+  int writes() const { return writes_; }
+  int reads() const { return reads_; }
+
+ private:
+  struct Item {
+    std::string value;
+    int64_t revision = 0;
+    int64_t created = 0;
+    int64_t lease = 0;
+  };
+  struct Change {
+    std::string key;
+    int64_t revision = 0;
+    bool removed = false;
+  };
+  struct Waiting {
+    CallId call;
+    std::string prefix;
+    int64_t after = 0;
+    std::chrono::steady_clock::time_point until;
+  };
+  struct Lease {
+    std::chrono::milliseconds ttl{0};
+    std::chrono::steady_clock::time_point end;
+  };
+
+  void OnRequest(CallId call, const mesh::HttpRequest& request);
+  void OnKey(CallId call, const std::string& query);
+  void OnRange(CallId call, const std::string& query);
+  void OnWatch(CallId call, const std::string& query);
+  void OnTransaction(CallId call, const nlohmann::json& body);
+  void Answer(CallId call, int status, const nlohmann::json& body);
+  nlohmann::json Describe(const std::string& key, const Item& item) const;
+  nlohmann::json EventsAfter(const std::string& prefix, int64_t after) const;
+  void Write(const std::string& key, const std::string& value, int64_t lease);
+  void Remove(const std::string& key);
+  void ServeWatches();
+  void Tick();
+
+  std::map<std::string, Item> items_;
+  std::vector<Change> history_;
+  std::vector<Waiting> waiting_;
+  std::map<int64_t, Lease> leases_;
+  int64_t revision_ = 1;
+  int64_t oldest_ = 1;
+  int64_t last_lease_ = 0;
+  int failure_ = 0;
+  int lost_answers_ = 0;
+  int writes_ = 0;
+  int reads_ = 0;
+  boost::asio::steady_timer timer_;
+  mesh::HttpServer server_;
+};
+
+/// How a target answers.
+struct TargetBehaviour {
+  std::chrono::milliseconds work{5};
+  bool sheds = false;  ///< 503, not run.
+  bool without_receipt = false;
+  bool fails = false;  ///< Runs the request, answers 500 and closes.
+  std::string status = "ready";
+};
+
+/// A target that reports to the node beside it.
+class PlatformTargetStandin {
+ public:
+  PlatformTargetStandin(boost::asio::io_context& context,
+                        std::string id,
+                        std::string service,
+                        const std::string& address,
+                        const std::string& report_address);
+
+  void SetBehaviour(TargetBehaviour behaviour) { behaviour_ = behaviour; }
+
+  /// Reports at once.
+  void Report();
+
+  /// Says that it leaves, without a body.
+  void Leave();
+
+  /// @return how often each request id ran.
+  const std::map<std::string, int>& runs() const { return runs_; }
+
+  /// @return fields of the last request that ran.
+  const mesh::Fields& last_fields() const { return last_fields_; }
+
+ private:
+  void OnRequest(CallId call, mesh::HttpRequest request);
+  void ReportLater();
+
+  boost::asio::io_context& context_;
+  std::string id_;
+  std::string service_;
+  std::string address_;
+  uint64_t sequence_ = 0;
+  uint64_t born_;
+  TargetBehaviour behaviour_;
+  std::map<std::string, int> runs_;
+  mesh::Fields last_fields_;
+  mesh::HttpServer server_;
+  mesh::HttpClient reporter_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace comfreylock::standin
+
+#endif  // COMFREYLOCK_STANDIN_PLATFORM_H_
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,260 @@
+#include "platform/codec.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/settings.h"
+
+namespace comfreylock::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kConfig = R"({
+  "version": "r12",
+  "services": [{"name": "front"}, {"name": "back"}],
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000,
+             "header_timeout_ms": 300, "idle_timeout_ms": 400},
+  "tenants": [{"name": "acme", "api_keys": ["k1", "k2"], "priority": 1,
+               "rate_per_s": 48, "burst": 30}],
+  "virtual_hosts": [{"host": "Shop.Example", "paths": [
+    {"name": "r-a", "prefix": "/a/", "route_type": "idempotent",
+     "timeout_ms": 1200, "target_latency_ms": 1500, "priority": 2,
+     "traffic_split": [{"service": "front", "weight": 90},
+                       {"service": "back", "weight": 10}],
+     "max_attempts": 2, "public": false},
+    {"name": "r-ab", "prefix": "/a/b/", "route_type": "upload",
+     "priority": 0, "service": "back", "public": true}]}]})";
+
+TEST(ParseConfigTest, ReadsRoutesOrganisationsAndLimits) {
+  mesh::FleetConfig config = ParseConfig(kConfig);
+  EXPECT_EQ(config.version, 12u);
+  EXPECT_TRUE(config.services.contains("back"));
+  const mesh::Route* route = config.FindRoute("shop.example", "/a/x?q=1");
+  ASSERT_TRUE(route);
+  EXPECT_EQ(route->name, "r-a");
+  EXPECT_TRUE(route->idempotent);
+  EXPECT_EQ(route->timeout, 1200ms);
+  ASSERT_EQ(route->services.size(), 2u);
+  EXPECT_EQ(route->services[1].weight, 10);
+  // The longest prefix decides, and uploads must not repeat.
+  const mesh::Route* longer = config.FindRoute("shop.example", "/a/b/c");
+  ASSERT_TRUE(longer);
+  EXPECT_EQ(longer->name, "r-ab");
+  EXPECT_FALSE(longer->idempotent);
+  EXPECT_TRUE(longer->open);
+  EXPECT_FALSE(config.FindRoute("shop.example", "/b/"));
+  const mesh::OrganisationLimits* acme = config.FindOrganisation("k2");
+  ASSERT_TRUE(acme);
+  EXPECT_EQ(acme->rate, 48);
+  EXPECT_EQ(acme->importance, 1u);
+  EXPECT_FALSE(config.FindOrganisation("k3"));
+  EXPECT_EQ(config.limits.max_body_bytes, 2000u);
+}
+
+// A configuration that cannot be read must name its field and change nothing.
+TEST(ParseConfigTest, NamesTheFieldThatIsWrong) {
+  auto message = [](const std::string& text) -> std::string {
+    try {
+      ParseConfig(text);
+    } catch (const InputError& error) {
+      return error.what();
+    }
+    return "accepted";
+  };
+  EXPECT_EQ(message("{"), "config is not JSON");
+  EXPECT_EQ(message("[]"), "config is no object");
+  EXPECT_EQ(message("{}"), "config.version is missing");
+  EXPECT_NE(message(R"({"version": "12"})").find("config.version"),
+            std::string::npos);
+  EXPECT_NE(message(R"({"version": "r1", "virtual_hosts":
+                       [{"host": "h", "paths": [{"name": 3}]}]})")
+                .find("virtual_hosts[0].paths[0].name"),
+            std::string::npos);
+}
+
+TEST(ParseReportTest, ReadsAReportAndALeaveWithoutABody) {
+  mesh::TargetReport report = ParseReport(
+      "i-1",
+      R"({"service": "front", "address": "127.0.0.1:80", "zone": "a",
+          "version": "v1", "slots": 50, "state": "draining",
+          "warmup_left_ms": 20, "sequence": 4, "born": 17})",
+      false);
+  EXPECT_TRUE(report.leaving);
+  EXPECT_EQ(report.slots, 50u);
+  EXPECT_EQ(report.sequence, 4u);
+  EXPECT_EQ(report.born, 17u);
+  EXPECT_EQ(report.warmup_left, 20ms);
+  EXPECT_TRUE(ParseReport("i-1", "", true).leaving);
+}
+
+// Other writers' reports may lack fields or hold other types: they name no
+// target.
+TEST(ParseReportTest, RefusesWhatNamesNoTarget) {
+  for (const char* body :
+       {"", "x", "{}", R"({"service": 1})",
+        R"({"service": "s", "address": "a", "zone": "z", "slots": 0,
+            "state": "ready"})",
+        R"({"service": "s", "address": "a", "zone": "z", "slots": 5,
+            "state": "resting"})",
+        R"({"service": "s", "address": "a", "zone": "z", "slots": "5",
+            "state": "ready"})"}) {
+    EXPECT_THROW(ParseReport("i-1", body, false), InputError) << body;
+  }
+}
+
+mesh::HttpRequest Request() {
+  mesh::HttpRequest request;
+  request.method = "POST";
+  request.target = "/a/1?x=2";
+  request.fields = {{"host", "Shop.Example:80"},
+                    {"X-Comfreylock-Request-Id", "id1"},
+                    {"X-Comfreylock-Request-Deadline", "700"},
+                    {"X-Comfreylock-Credential", "k1"},
+                    {"X-Comfreylock-Tenant-Id", "forged"},
+                    {"X-Comfreylock-Caller-Service", "forged"},
+                    {"X-Comfreylock-Expected-Instance", "forged"},
+                    {"Connection", "keep-alive, X-Hop"},
+                    {"X-Hop", "1"},
+                    {"Content-Length", "4"},
+                    {"X-Other", "2"}};
+  request.body = "body";
+  request.has_body = true;
+  return request;
+}
+
+TEST(CallerCodecTest, DecodesWhatTheReducerNeeds) {
+  auto decoded = CallerCodec().Decode(Request());
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->host, "shop.example");
+  EXPECT_EQ(decoded->key, "k1");
+  EXPECT_EQ(decoded->deadline, 700ms);
+  EXPECT_EQ(decoded->forward->request_id(), "id1");
+  EXPECT_EQ(decoded->forward->path(), "/a/1?x=2");
+}
+
+TEST(CallerCodecTest, RefusesARequestWithoutItsId) {
+  mesh::HttpRequest request = Request();
+  std::erase_if(request.fields, [](const auto& field) {
+    return field.first == "X-Comfreylock-Request-Id";
+  });
+  EXPECT_FALSE(CallerCodec().Decode(std::move(request)));
+}
+
+TEST(CallerCodecTest, AcceptsTheAbsoluteForm) {
+  mesh::HttpRequest request = Request();
+  request.target = "http://other.example/a/2";
+  auto decoded = CallerCodec().Decode(std::move(request));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->host, "other.example");
+  EXPECT_EQ(decoded->forward->path(), "/a/2");
+}
+
+// Neither the key nor what only the system may say passes from the caller.
+TEST(TargetCodecTest, SetsItsOwnFieldsAndDropsTheCallers) {
+  auto decoded = CallerCodec().Decode(Request());
+  decoded->forward->set_organisation("acme");
+  decoded->forward->set_caller_service("front");
+  mesh::RunOnTarget run{WorkId{1}, "i-1", TimePoint(), decoded->forward};
+  mesh::HttpRequest request = TargetCodec().Encode(run, 650ms);
+  std::string bytes = mesh::Serialize(request);
+  EXPECT_EQ(bytes.find("forged"), std::string::npos);
+  EXPECT_EQ(bytes.find("k1"), std::string::npos);
+  EXPECT_EQ(bytes.find("X-Hop"), std::string::npos);
+  EXPECT_NE(bytes.find("X-Other: 2"), std::string::npos);
+  EXPECT_NE(bytes.find("X-Comfreylock-Request-Deadline: 650"),
+            std::string::npos);
+  EXPECT_NE(bytes.find("X-Comfreylock-Expected-Instance: i-1"),
+            std::string::npos);
+  EXPECT_NE(bytes.find("X-Comfreylock-Tenant-Id: acme"), std::string::npos);
+  EXPECT_NE(bytes.find("X-Comfreylock-Caller-Service: front"),
+            std::string::npos);
+  EXPECT_NE(bytes.find("Content-Length: 4\r\n"), std::string::npos);
+}
+
+mesh::HttpAnswer Answer(int status) {
+  mesh::HttpAnswer answer;
+  answer.status = status;
+  answer.fields = {{"X-Comfreylock-Request-Id", "id1"},
+                   {"X-Comfreylock-Server-Signature", "s"}};
+  return answer;
+}
+
+TEST(TargetCodecTest, JudgesAnswers) {
+  using Kind = mesh::TargetResult::Kind;
+  TargetCodec codec;
+  mesh::wire::Forward request;
+  request.set_request_id("id1");
+  EXPECT_EQ(codec.Decode(Answer(200), request).kind, Kind::kAnswered);
+  EXPECT_TRUE(codec.Decode(Answer(200), request).success);
+  EXPECT_EQ(codec.Decode(Answer(500), request).kind, Kind::kAnswered);
+  EXPECT_EQ(codec.Decode(Answer(421), request).kind, Kind::kWrongTarget);
+
+  mesh::HttpAnswer shed = Answer(503);
+  shed.fields.emplace_back("X-Comfreylock-Not-Executed", "1");
+  EXPECT_EQ(codec.Decode(shed, request).kind, Kind::kShed);
+
+  // A success that bears no proof, an encoding, or another id is nobody's.
+  mesh::HttpAnswer without_receipt = Answer(200);
+  without_receipt.fields.pop_back();
+  EXPECT_EQ(codec.Decode(without_receipt, request).kind, Kind::kBroken);
+  mesh::HttpAnswer encoded = Answer(200);
+  encoded.fields.emplace_back("content-encoding", "gzip");
+  EXPECT_EQ(codec.Decode(encoded, request).kind, Kind::kBroken);
+  request.set_request_id("id2");
+  EXPECT_EQ(codec.Decode(Answer(200), request).kind, Kind::kBroken);
+  EXPECT_FALSE(codec.IsAnswerTo(Answer(200), request));
+}
+
+// "Not run" statuses are promises; what may have run gets none of them.
+TEST(CallerCodecTest, PromisesOnlyWhatIsCertain) {
+  CallerCodec codec;
+  mesh::RefuseCaller refusal{CallId{1}, "id1", Reason::kOverload};
+  refusal.retry_after = 250ms;
+  mesh::HttpAnswer answer = codec.Encode(refusal);
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(mesh::FindField(answer.fields, "retry-after"), "0.250");
+  refusal.not_run = false;
+  for (Reason reason : {Reason::kOverload, Reason::kTargetFailed,
+                        Reason::kDeadline, Reason::kNoTarget}) {
+    refusal.reason = reason;
+    int status = codec.Encode(refusal).status;
+    EXPECT_TRUE(status == 502 || status == 504) << status;
+  }
+}
+
+constexpr const char* kSettings = R"({
+  // As the platform fills it in.
+  "node": "n1", "service": "front", "zone": "a",
+  "target_address": "127.0.0.1:1", "caller_address": "127.0.0.1:2",
+  "peer_address": "127.0.0.1:3", "readiness_address": "127.0.0.1:4",
+  "report_address": "127.0.0.1:5", "metrics_address": "127.0.0.1",
+  "store_address": "127.0.0.1:6", "report_interval_ms": 1500,
+  "new_field": 1,
+  "bounds": {"revoke_ms": "4000", "grace_s": 5, "retry_budget_ratio": "0.3",
+             "seed_lag_s": 3, "strict_revoke": true}})";
+
+TEST(ParseSettingsTest, ReadsBoundsAndIgnoresUnknownFields) {
+  Settings settings = ParseSettings(kSettings, "boot");
+  EXPECT_EQ(settings.bounds.key_withdrawal, 4000ms);
+  EXPECT_EQ(settings.bounds.grace, 5000ms);
+  EXPECT_EQ(settings.bounds.retry.ratio, 0.3);
+  EXPECT_EQ(settings.bounds.report_interval, 1500ms);
+  EXPECT_EQ(settings.unknown_fields, std::vector<std::string>{"new_field"});
+}
+
+TEST(ParseSettingsTest, ListsEveryErrorWithItsField) {
+  std::string text = kSettings;
+  text.replace(text.find("\"node\""), 6, "\"nod\"");
+  text.replace(text.find("127.0.0.1:3"), 11, "here");
+  try {
+    ParseSettings(text, "boot");
+    FAIL() << "accepted";
+  } catch (const InputError& error) {
+    std::string message = error.what();
+    EXPECT_NE(message.find("boot: node is missing"), std::string::npos);
+    EXPECT_NE(message.find("peer_address is \"here\""), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace comfreylock::platform
--- /dev/null
+++ b/tests/platform/platform_test.cc
@@ -0,0 +1,304 @@
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include "mesh/shell.h"
+#include "platform/codec.h"
+#include "platform/config_source.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "standin_platform.h"
+
+/// Whole nodes on loopback against stand-ins of the platform.
+namespace comfreylock::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using standin::KvStoreStandin;
+using standin::PlatformTargetStandin;
+using std::chrono::milliseconds;
+
+/// Ports below the kernel's range for outgoing connections, apart for each
+/// test process.
+std::string Address(int offset) {
+  return "127.0.0.1:" + std::to_string(20'000 + getpid() % 400 * 30 + offset);
+}
+
+std::string ConfigText(const std::string& version, const std::string& keys) {
+  return R"({"version": ")" + version + R"(",
+    "services": [{"name": "shop"}],
+    "tenants": [{"name": "acme", "api_keys": [)" +
+         keys + R"(],
+                 "rate_per_s": 0}],
+    "virtual_hosts": [{"host": "h", "paths": [
+      {"name": "read", "prefix": "/read/", "route_type": "idempotent",
+       "timeout_ms": 2000, "target_latency_ms": 500, "priority": 2,
+       "max_attempts": 2, "service": "shop"},
+      {"name": "order", "prefix": "/order/", "route_type": "non_idempotent",
+       "timeout_ms": 2000, "target_latency_ms": 500, "priority": 0,
+       "max_attempts": 2, "service": "shop"}]}]})";
+}
+
+/// One host: a node, its target, and clients.
+class Host {
+ public:
+  Host(boost::asio::io_context& context, int number, milliseconds withdrawal)
+      : log_(OpenNull(), "n" + std::to_string(number)),
+        shell_(context,
+               SettingsOf(number, withdrawal),
+               log_,
+               callers_,
+               targets_),
+        store_(context,
+               Address(0),
+               mesh::ReadClock,
+               [this](StoreCallId call, StoreResult result) {
+                 shell_.Feed(mesh::StoreReplied{call, std::move(result)});
+               }),
+        config_(context, store_, shell_),
+        reports_(context,
+                 {[this](CallId call, mesh::HttpRequest request) {
+                    OnReport(call, request);
+                  },
+                  [](CallId) {}, [] { return mesh::CallerLimits(); }}),
+        target_(context,
+                "i-" + std::to_string(number),
+                "shop",
+                Address(number * 5 + 1),
+                Address(number * 5 + 4)),
+        client_(context, Address(number * 5 + 2), {}) {
+    shell_.SetStore(&store_);
+    reports_.Listen(Address(number * 5 + 4));
+    config_.Start();
+    shell_.Listen();
+  }
+
+  mesh::Shell& shell() { return shell_; }
+  PlatformTargetStandin& target() { return target_; }
+  mesh::HttpClient& client() { return client_; }
+
+ private:
+  static int OpenNull();
+
+  static mesh::ShellSettings SettingsOf(int number, milliseconds withdrawal) {
+    mesh::NodeIdentity identity;
+    identity.node = "n" + std::to_string(number);
+    identity.service = "shop";
+    identity.zone = "a";
+    identity.target_address = Address(number * 5 + 1);
+    identity.peer_address = Address(number * 5 + 3);
+    identity.boot = static_cast<uint64_t>(number);
+    identity.bounds.key_withdrawal = withdrawal;
+    return {identity, Address(number * 5 + 2)};
+  }
+
+  void OnReport(CallId call, const mesh::HttpRequest& request) {
+    bool leave = request.target.find("Deregister") != std::string::npos;
+    std::string id = request.target.substr(request.target.rfind('/') + 1);
+    shell_.Feed(mesh::TargetReported{ParseReport(id, request.body, leave)});
+    reports_.Respond(call, {});
+  }
+
+  mesh::LineLog log_;
+  CallerCodec callers_;
+  TargetCodec targets_;
+  mesh::Shell shell_;
+  KvStore store_;
+  ConfigSource config_;
+  mesh::HttpServer reports_;
+  PlatformTargetStandin target_;
+  mesh::HttpClient client_;
+};
+
+int Host::OpenNull() {
+  static FILE* null_file = std::fopen("/dev/null", "w");
+  return fileno(null_file);
+}
+
+class PlatformTest : public testing::Test {
+ protected:
+  void Start(int hosts, milliseconds withdrawal = 5000ms) {
+    store_ = std::make_unique<KvStoreStandin>(context_, Address(0));
+    store_->Put("op/config", ConfigText("r1", "\"k1\""));
+    for (int i = 1; i <= hosts; ++i)
+      hosts_.push_back(std::make_unique<Host>(context_, i, withdrawal));
+    // Until each node reaches the targets of all others.
+    for (int i = 0; i < 100; ++i) {
+      Run(50ms);
+      bool ready = std::ranges::all_of(hosts_, [this](const auto& host) {
+        auto status = host->shell().status();
+        return status.ready && status.slots > 0 &&
+               status.links >= 2 * (hosts_.size() - 1);
+      });
+      if (ready)
+        break;
+    }
+    Run(300ms);
+  }
+
+  void Run(milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  mesh::HttpAnswer Call(size_t host,
+                        const std::string& path,
+                        const std::string& key = "k1",
+                        const std::string& method = "GET",
+                        const std::string& body = "") {
+    mesh::HttpRequest request{method, path};
+    last_id_ = "req" + std::to_string(++count_);
+    request.fields = {{"Host", "h"},
+                      {"X-Comfreylock-Request-Id", last_id_},
+                      {"X-Comfreylock-Request-Deadline", "3000"}};
+    if (!key.empty())
+      request.fields.emplace_back("X-Comfreylock-Credential", key);
+    request.body = body;
+    request.has_body = method == "POST";
+    std::optional<mesh::HttpAnswer> answer;
+    hosts_.at(host)->client().Send(
+        request, {.timeout = 4s}, [&answer](mesh::ExchangeResult result) {
+          answer = std::move(result.answer);
+          if (result.kind != mesh::ExchangeResult::Kind::kAnswered)
+            answer->status = 0;
+        });
+    for (int i = 0; i < 500 && !answer; ++i)
+      Run(10ms);
+    return answer.value_or(mesh::HttpAnswer{.status = -1});
+  }
+
+  int Runs(const std::string& id) const {
+    int runs = 0;
+    for (const auto& host : hosts_) {
+      auto found = host->target().runs().find(id);
+      runs += found == host->target().runs().end() ? 0 : found->second;
+    }
+    return runs;
+  }
+
+  boost::asio::io_context context_;
+  std::unique_ptr<KvStoreStandin> store_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::string last_id_;
+  int count_ = 0;
+};
+
+TEST_F(PlatformTest, ServesRequestsOfAllKinds) {
+  Start(2);
+  for (size_t host : {0, 1}) {
+    mesh::HttpAnswer read = Call(host, "/read/1");
+    EXPECT_EQ(read.status, 200);
+    EXPECT_EQ(read.body, "answer to " + last_id_ + " of 0");
+    EXPECT_TRUE(mesh::FindField(read.fields, "X-Comfreylock-Server-Signature"));
+    mesh::HttpAnswer order =
+        Call(host, "/order/1", "k1", "POST", std::string(100'000, 'x'));
+    EXPECT_EQ(order.status, 200);
+    EXPECT_EQ(order.body, "answer to " + last_id_ + " of 100000");
+    EXPECT_EQ(Runs(last_id_), 1);
+  }
+  EXPECT_EQ(Call(0, "/none/1").status, 404);
+  EXPECT_EQ(Call(0, "/read/1", "").status, 401);
+  EXPECT_EQ(Call(0, "/read/1", "k9").status, 401);
+}
+
+TEST_F(PlatformTest, AChangeOfTheConfigIsInForceAtOnce) {
+  Start(2);
+  EXPECT_EQ(Call(0, "/read/1", "k1").status, 200);
+  store_->Put("op/config", ConfigText("r3", "\"k2\""));
+  Run(200ms);
+  for (size_t host : {0, 1}) {
+    EXPECT_EQ(Call(host, "/read/1", "k1").status, 401);
+    EXPECT_EQ(Call(host, "/read/1", "k2").status, 200);
+  }
+  // An unreadable and an older version change nothing.
+  store_->Put("op/config", "{");
+  store_->Put("op/config", ConfigText("r2", "\"k1\""));
+  Run(200ms);
+  EXPECT_EQ(Call(0, "/read/1", "k2").status, 200);
+}
+
+// A node that cannot know whether a key was withdrawn must not serve it.
+TEST_F(PlatformTest, KeysAreRefusedWithoutProofOfTheConfig) {
+  Start(1, 3000ms);
+  EXPECT_EQ(Call(0, "/read/1").status, 200);
+  store_->SetFailure(503);
+  Run(3500ms);
+  EXPECT_EQ(Call(0, "/read/1").status, 503);
+  EXPECT_EQ(Runs(last_id_), 0);
+  EXPECT_FALSE(hosts_[0]->shell().status().ready);
+  store_->SetFailure(0);
+  Run(2500ms);
+  EXPECT_EQ(Call(0, "/read/1").status, 200);
+}
+
+TEST_F(PlatformTest, ALostHistoryIsAnsweredByReadingAgain) {
+  Start(2);
+  store_->Compact();
+  store_->Put("op/config", ConfigText("r5", "\"k5\""));
+  Run(500ms);
+  EXPECT_EQ(Call(0, "/read/1", "k5").status, 200);
+  EXPECT_EQ(Call(1, "/read/1", "k1").status, 401);
+}
+
+TEST_F(PlatformTest, ALostAnswerToAWriteIsMadeGood) {
+  store_ = std::make_unique<KvStoreStandin>(context_, Address(0));
+  store_->Put("op/config", ConfigText("r1", "\"k1\""));
+  store_->LoseAnswers(1);
+  hosts_.push_back(std::make_unique<Host>(context_, 1, 5000ms));
+  Run(4s);
+  EXPECT_NE(store_->Get("comfreylock/nodes/n1"), "");
+  EXPECT_EQ(Call(0, "/read/1").status, 200);
+}
+
+// A leave without a body binds the node beside the target at once.
+TEST_F(PlatformTest, ALeavingTargetGetsNothingMore) {
+  Start(2);
+  hosts_[0]->target().Leave();
+  Run(100ms);
+  size_t before = hosts_[0]->target().runs().size();
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(Call(static_cast<size_t>(i % 2), "/read/1").status, 200);
+  EXPECT_EQ(hosts_[0]->target().runs().size(), before);
+  // A late report of the same start does not bring it back.
+  hosts_[0]->target().Report();
+  Run(100ms);
+  for (int i = 0; i < 4; ++i)
+    Call(0, "/read/1");
+  EXPECT_EQ(hosts_[0]->target().runs().size(), before);
+}
+
+TEST_F(PlatformTest, AShedRequestIsPlacedElsewhere) {
+  Start(2);
+  hosts_[0]->target().SetBehaviour({.sheds = true});
+  int served = 0;
+  for (int i = 0; i < 4; ++i)
+    served += Call(0, "/order/1", "k1", "POST", "x").status == 200 ? 1 : 0;
+  EXPECT_GE(served, 3);
+}
+
+// What failed after it ran must not be answered as not run, nor run again.
+TEST_F(PlatformTest, AnOrderThatFailedIsNotRepeated) {
+  Start(2);
+  for (auto& host : hosts_)
+    host->target().SetBehaviour({.without_receipt = true});
+  mesh::HttpAnswer answer = Call(0, "/order/1", "k1", "POST", "x");
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(Runs(last_id_), 1);
+  for (auto& host : hosts_)
+    host->target().SetBehaviour({.fails = true});
+  EXPECT_EQ(Call(0, "/order/1", "k1", "POST", "x").status, 500);
+  EXPECT_EQ(Runs(last_id_), 1);
+}
+
+TEST_F(PlatformTest, AGracefulStopServesUntilCallersHaveGone) {
+  Start(2);
+  hosts_[0]->shell().Feed(mesh::ShutdownRequested{});
+  EXPECT_FALSE(hosts_[0]->shell().status().ready);
+  mesh::HttpAnswer answer = Call(0, "/read/1");
+  EXPECT_EQ(answer.status, 200);
+  Run(100ms);
+  EXPECT_EQ(store_->Get("comfreylock/nodes/n1"), "");
+}
+
+}  // namespace
+}  // namespace comfreylock::platform
