--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -19,7 +19,7 @@
 constexpr milliseconds kWithdrawalMargin = 300ms;
 /// A node that has not heard from the store for this time does not refuse a key
 /// or route for good: it may have missed one that was added.
-constexpr milliseconds kDefiniteAge = 1800ms;
+constexpr milliseconds kDefiniteAge = 2600ms;
 /// Placements of one request after which it is refused to the caller.
 constexpr uint32_t kMostPlacements = 6;
 /// Bounds of the hint to refused callers.
@@ -308,7 +308,7 @@
   LogLine(LogCode::kCallRetried,
           {{"request_id", call.forward->request_id()},
            {"organisation", call.organisation},
-           {"node", call.node},
+           {"peer", call.node},
            {"outcome", wire::Outcome::Kind_Name(outcome->kind())},
            {"reason", outcome->reason()}});
   Place(call);
@@ -335,7 +335,7 @@
            {"service", call.service},
            {"reason", std::string(InfoOf(reason).name)},
            {"not_run", not_run ? "true" : "false"},
-           {"node", call.node},
+           {"peer", call.node},
            {"placements", std::to_string(call.tried.size())},
            {"held_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
                                           now_ - call.arrived)
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -287,7 +287,7 @@
   member.record = record;
   placement_.SetNode(node, record.node().service(), record.node().zone());
   if (added) {
-    LogLine(LogCode::kMemberChanged, {{"node", node},
+    LogLine(LogCode::kMemberChanged, {{"peer", node},
                                       {"state", "joined"},
                                       {"service", record.node().service()},
                                       {"zone", record.node().zone()}});
@@ -323,7 +323,7 @@
   LinkId link = found->second.link;
   members_.erase(found);
   placement_.RemoveNode(node);
-  LogLine(LogCode::kMemberChanged, {{"node", node}, {"state", "gone"}});
+  LogLine(LogCode::kMemberChanged, {{"peer", node}, {"state", "gone"}});
   if (link)
     CloseLinkOf(link);
 }
@@ -357,7 +357,7 @@
   }
   for (LinkId id : silent) {
     LogLine(LogCode::kLinkLost,
-            {{"node", links_.at(id).node}, {"reason", "silent"}});
+            {{"peer", links_.at(id).node}, {"reason", "silent"}});
     CloseLinkOf(id);
   }
 }
@@ -389,7 +389,7 @@
     return;
   }
   member->second.backoff = kFirstBackoff;
-  LogLine(LogCode::kLinkOpened, {{"node", link.node}});
+  LogLine(LogCode::kLinkOpened, {{"peer", link.node}});
 }
 
 void Node::On(const LinkClosed& event) {
@@ -411,7 +411,7 @@
     if (link.open) {
       state.next_connect = now_;
       LogLine(LogCode::kLinkLost,
-              {{"node", link.node},
+              {{"peer", link.node},
                {"reason", "closed"},
                {"calls", std::to_string(link.calls.size())}});
     }
