--- a/include/comfreylock/store.h
+++ b/include/comfreylock/store.h
@@ -76,6 +76,8 @@
   int64_t start_revision = 0;
   /// If set, a result without changes is given at least this often.
   std::chrono::milliseconds progress_interval{0};
+  /// Ends after its first result, which may be without changes or a failure.
+  bool once = false;
 };
 
 struct StoreCancelWatch {
--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -74,6 +74,8 @@
   status.members = members_.size();
   status.links = links_.size();
   status.stopping = stopping_;
+  status.watches_config = WatchesConfig();
+  status.config_outdated = newest_version_ > status.config_version;
   auto limit = identity_.bounds.key_withdrawal * kReadyPart;
   status.ready =
       config_ && !stopping_ && reads_.done && now - config_confirmed_ < limit;
@@ -138,6 +140,7 @@
     return;
   config_ = event.config;
   split_credit_.clear();
+  TellLoad();
   LogLine(
       LogCode::kConfigInForce,
       {{"version", std::to_string(config_->version)}, {"age_ms", ConfigAge()}});
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -63,6 +63,8 @@
   size_t links = 0;
   bool ready = false;
   bool stopping = false;
+  bool watches_config = false;   ///< Asks the store for all the others.
+  bool config_outdated = false;  ///< Another node has a newer one.
 };
 
 class Node {
@@ -131,6 +133,7 @@
     /// Smallest difference between the clocks of arrival and sending so far:
     /// what a request takes beyond it, it has waited on the way.
     std::optional<int64_t> clock_offset_us;
+    uint32_t loads = 0;                ///< Received on it.
     std::map<uint64_t, CallId> calls;  ///< Requests sent on it.
     std::map<uint64_t, WorkId> works;  ///< Requests received on it.
   };
@@ -205,8 +208,8 @@
   // Works (node_works.cc).
   void Accept(Work work);
   /// @return how long a received request has waited on its way.
-  std::chrono::microseconds DelayOf(Link& link,
-                                    const wire::Forward& forward) const;
+  /// @param sent_us when it was sent, by the sender's clock.
+  std::chrono::microseconds DelayOf(Link& link, uint64_t sent_us) const;
   Reason WhyNotAccepted(const Work& work) const;
   void Apply(const TargetQueue::Changes& changes);
   void Start(WorkId id);
@@ -242,6 +245,10 @@
   void CloseSilentLinks();
   void CloseLinkOf(LinkId id);
   size_t NodeCount() const { return members_.size() + 1; }
+  void LearnLoad(Link& link, const wire::Load& load);
+  /// @return whether this node is one of the few that ask the store all the
+  /// time.
+  bool WatchesConfig() const;
   NodeId RateHolderFor(const std::string& organisation) const;
   void ReportDemand();
   void OnDemand(LinkId link, const wire::Demand& demand);
@@ -261,6 +268,8 @@
   std::shared_ptr<const FleetConfig> config_;
   TimePoint config_confirmed_;
   bool config_was_fresh_ = false;
+  uint64_t newest_version_ = 0;  ///< That any node told of.
+  uint64_t told_version_ = 0;
   std::map<const Route*, std::vector<double>> split_credit_;
 
   std::unordered_map<CallId, Call> calls_;
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -19,7 +19,7 @@
 constexpr milliseconds kWithdrawalMargin = 300ms;
 /// A node that has not heard from the store for this time does not refuse a key
 /// or route for good: it may have missed one that was added.
-constexpr milliseconds kDefiniteAge = 2600ms;
+constexpr milliseconds kDefiniteAge = 3600ms;
 /// Placements of one request after which it is refused to the caller.
 constexpr uint32_t kMostPlacements = 6;
 /// Bounds of the hint to refused callers.
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -34,6 +34,14 @@
 constexpr milliseconds kStandstill = 400ms;
 /// Interval at which demand is reported to the holders of rates.
 constexpr milliseconds kDemandInterval = 200ms;
+/// Nodes that ask the store for the configuration all the time: at least so
+/// many, and one more for so many nodes.
+constexpr size_t kLeastWatchers = 2;
+constexpr size_t kNodesPerWatcher = 24;
+/// Loads on a link after which the difference of two clocks is known.
+constexpr uint32_t kLoadsForClock = 3;
+/// Taken off a confirmation that another node passes on.
+constexpr milliseconds kConfirmationMargin = 150ms;
 /// Nodes for each holder of rates.
 constexpr size_t kNodesPerHolder = 64;
 
@@ -441,15 +449,7 @@
   wire::Frame& frame = *event.frame;
   switch (frame.body_case()) {
     case wire::Frame::kLoad:
-      if (!frame.load().service().empty()) {
-        auto member = members_.find(link.node);
-        if (member != members_.end()) {
-          placement_.SetNode(link.node, frame.load().service(),
-                             member->second.record.node().zone());
-        }
-      }
-      if (!link.accepted)
-        placement_.Learn(link.node, frame.load(), now_);
+      LearnLoad(link, frame.load());
       return;
     case wire::Frame::kForward: {
       link.last_forward = now_;
@@ -457,7 +457,7 @@
       work.forward = std::shared_ptr<wire::Forward>(frame.release_forward());
       // Its caller may have left while it waited on a full link or at a node
       // without processor time.
-      microseconds delay = DelayOf(link, *work.forward);
+      microseconds delay = DelayOf(link, work.forward->sent_us());
       if (delay > kLongestDelay) {
         ReplyWithout(work, wire::Outcome::NOT_RUN, "delayed");
         return;
@@ -477,7 +477,7 @@
     case wire::Frame::kOutcome: {
       link.last_forward = now_;
       if (frame.outcome().has_load())
-        placement_.Learn(link.node, frame.outcome().load(), now_);
+        LearnLoad(link, frame.outcome().load());
       auto stream = link.calls.find(frame.outcome().stream());
       if (stream == link.calls.end())
         return;
@@ -503,9 +503,39 @@
   }
 }
 
-microseconds Node::DelayOf(Link& link, const wire::Forward& forward) const {
+void Node::LearnLoad(Link& link, const wire::Load& load) {
+  auto member = members_.find(link.node);
+  if (link.accepted || member == members_.end())
+    return;
+  if (!load.service().empty()) {
+    placement_.SetNode(link.node, load.service(),
+                       member->second.record.node().zone());
+  }
+  placement_.Learn(link.node, load, now_);
+  // What another node knows of the configuration is as old as it says, and as
+  // the message. The first ones may all have been delayed.
+  microseconds delay = DelayOf(link, load.sent_us());
+  newest_version_ = std::max(newest_version_, load.config_version());
+  bool same = config_ && load.config_version() == config_->version;
+  if (same && ++link.loads > kLoadsForClock) {
+    TimePoint confirmed =
+        now_ - milliseconds(load.config_age_ms()) - delay - kConfirmationMargin;
+    config_confirmed_ = std::max(config_confirmed_, confirmed);
+  }
+}
+
+bool Node::WatchesConfig() const {
+  size_t watchers = kLeastWatchers + NodeCount() / kNodesPerWatcher;
+  uint64_t own = Hash("watch/" + identity_.node);
+  size_t before = 0;
+  for (const auto& [node, member] : members_)
+    before += Hash("watch/" + node) > own ? 1 : 0;
+  return before < watchers;
+}
+
+microseconds Node::DelayOf(Link& link, uint64_t sent_us) const {
   int64_t offset =
-      now_.time_since_epoch().count() - static_cast<int64_t>(forward.sent_us());
+      now_.time_since_epoch().count() - static_cast<int64_t>(sent_us);
   link.clock_offset_us =
       std::min(link.clock_offset_us.value_or(offset), offset);
   return microseconds(offset - *link.clock_offset_us);
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -385,6 +385,13 @@
   load.set_failure_permille(
       static_cast<uint32_t>(target_.failures * kPermille));
   load.set_service(target_.report.service);
+  load.set_sent_us(static_cast<uint64_t>(now_.time_since_epoch().count()));
+  if (config_) {
+    load.set_config_version(config_->version);
+    load.set_config_age_ms(static_cast<uint32_t>(
+        std::chrono::duration_cast<milliseconds>(now_ - config_confirmed_)
+            .count()));
+  }
   for (const auto& [route, time] : queue_.RouteTimes(now_)) {
     wire::Load::RouteTime* row = load.add_route_times();
     row->set_route(route);
@@ -405,6 +412,8 @@
     placement_.SetNode(identity_.node, load.service(), identity_.zone);
   placement_.Learn(identity_.node, load, now_);
   bool changed = std::exchange(told_serving_, load.serving()) != load.serving();
+  changed |= std::exchange(told_version_, load.config_version()) !=
+             load.config_version();
   for (auto& [id, link] : links_) {
     if (!link.open || !link.accepted)
       continue;
