--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -61,6 +61,9 @@
   size_t calls = 0;
   size_t members = 0;
   size_t links = 0;
+  /// Part of the target's calls that was refused for want of room, in
+  /// thousandths, by the importance of the request that made them.
+  std::array<uint32_t, kImportanceClasses> failed_calls_permille{};
   bool ready = false;
   bool stopping = false;
   bool watches_config = false;   ///< Asks the store for all the others.
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -10,6 +10,9 @@
 
 /// Weight of a new duration in a mean service time.
 constexpr double kMeanGain = 0.05;
+/// Service time that is assumed before the first request has ended. Without it
+/// a node that has just started would let everything wait.
+constexpr double kAssumedServiceUs = 150'000;
 /// Part of the time left that wait and service may take together. The rest
 /// covers durations above the mean and the way back to the caller.
 constexpr double kUsableTime = 0.9;
@@ -199,7 +202,9 @@
   uint32_t ahead = 1;
   for (uint32_t lane = 0; lane <= LaneOf(importance); ++lane)
     ahead += state.waiting[lane];
-  double mean = state.mean_us > 0 ? state.mean_us : mean_us_;
+  double mean = state.mean_us > 0 ? state.mean_us
+                : mean_us_ > 0    ? mean_us_
+                                  : kAssumedServiceUs;
   uint32_t servers = std::max(1u, std::max(state.running, SlotsFor(kind, now)));
   return microseconds(static_cast<int64_t>(mean * ahead / servers));
 }
--- a/tests/mesh/target_queue_test.cc
+++ b/tests/mesh/target_queue_test.cc
@@ -63,6 +63,18 @@
   EXPECT_GE(refused, 14u);
 }
 
+// A node that has just started knows no service times, while callers that were
+// cut off come back all at once.
+TEST(TargetQueueTest, DoesNotLetEverythingWaitBeforeTheFirstAnswer) {
+  TargetQueue queue;
+  TimePoint now(1s);
+  queue.SetSlots(10);
+  for (uint64_t i = 1; i <= 1000; ++i)
+    queue.Offer(Work(i, 1, false, now), now);
+  // Ten slots that take 150 ms each serve 150 in the time that counts.
+  EXPECT_LE(queue.queued(), 200u);
+}
+
 // A caller that cannot be served in time learns it at the latest start, not at
 // its deadline.
 TEST(TargetQueueTest, RefusesAWaitingRequestAtItsLatestStart) {
