--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -16,7 +16,8 @@
 constexpr size_t kLengthBytes = 4;
 /// Largest frame: a request body at its limit, and the rest of the request.
 constexpr size_t kMostFrameBytes = 80 * 1024 * 1024;
-constexpr size_t kReadBytes = 64 * 1024;
+/// Read at a time; the space is cleared before, so more costs time.
+constexpr size_t kReadBytes = 16 * 1024;
 /// Unsent bytes after which a link counts as dead.
 constexpr size_t kMostUnsentBytes = 48 * 1024 * 1024;
 /// Time to connect and to get the other node's Hello.
--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -103,6 +103,7 @@
   AdvanceTarget();
   Apply(queue_.Advance(now_));
   ExpireCalls();
+  ExpireTokenWaits();
   ReportDemand();
   TellLoad();
   quarantine_.Expire(now_);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -2,6 +2,7 @@
 #define COMFREYLOCK_MESH_NODE_H_
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -187,6 +188,8 @@
 
   // Calls (node_calls.cc).
   Reason Classify(Call& call, const CallerRequest& request);
+  /// Takes a call that is within its organisation's rate.
+  void Admit(Call call, bool took_token);
   const std::string& PickService(const Route& route);
   /// @return the request at this host's target that made the call, or null.
   const Work* ParentOf(const wire::Forward& forward) const;
@@ -252,6 +255,15 @@
   /// @return whether this node is one of the few that ask the store all the
   /// time.
   bool WatchesConfig() const;
+  /// Lets a call wait for a token of its organisation's common bucket.
+  void WaitForToken(Call& call);
+  void AskForTokens(const std::string& organisation);
+  void OnShares(const wire::Shares& shares);
+  /// Refuses calls that wait for too long.
+  void ExpireTokenWaits();
+  /// @return whether a message to the node goes out now.
+  bool CanReach(const NodeId& node) const;
+  void SendDemand(const NodeId& holder, wire::Demand demand);
   NodeId RateHolderFor(const std::string& organisation) const;
   void ReportDemand();
   void OnDemand(LinkId link, const wire::Demand& demand);
@@ -292,6 +304,8 @@
   RateHolder rate_holder_;
   Quarantine quarantine_;
   TimePoint next_demand_;
+  /// Calls that wait for a token, by organisation, in the order of arrival.
+  std::map<std::string, std::deque<std::pair<TimePoint, CallId>>> token_waits_;
 
   std::map<LinkId, Link> links_;
   std::map<NodeId, Member> members_;
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -22,6 +22,8 @@
 constexpr milliseconds kDefiniteAge = 3600ms;
 /// Placements of one request after which it is refused to the caller.
 constexpr uint32_t kMostPlacements = 6;
+/// Longest wait for a token of a common bucket.
+constexpr milliseconds kTokenWait = 120ms;
 /// Bounds of the hint to refused callers.
 constexpr milliseconds kShortestHint = 100ms;
 constexpr milliseconds kLongestHint = 2000ms;
@@ -75,13 +77,28 @@
   if (!call.organisation.empty()) {
     const OrganisationLimits& limits =
         config_->organisations.find(call.organisation)->second;
+    if (TakesCommonTokens(limits, NodeCount()) &&
+        CanReach(RateHolderFor(limits.name))) {
+      if (!rate_share_.TakeCommon(limits.name, now_)) {
+        WaitForToken(call);
+        return;
+      }
+      Admit(std::move(call), true);
+      return;
+    }
     microseconds wait = rate_share_.Take(limits, NodeCount(), now_);
     if (wait.count() > 0) {
       Refuse(call, Reason::kOverRate, SpreadRetryAfter(wait));
       return;
     }
-    call.took_token = limits.rate > 0;
+    Admit(std::move(call), limits.rate > 0);
+    return;
   }
+  Admit(std::move(call), false);
+}
+
+void Node::Admit(Call call, bool took_token) {
+  call.took_token = took_token;
   retries_.CountRequest(call.service, now_);
   const Work* parent = ParentOf(*call.forward);
   if (parent && parent->forward->repeat()) {
@@ -379,6 +396,54 @@
                                            spread(random_)));
 }
 
+void Node::WaitForToken(Call& call) {
+  std::string organisation = call.organisation;
+  token_waits_[organisation].emplace_back(now_, call.id);
+  call_deadlines_.insert({call.deadline, call.id});
+  calls_[call.id] = std::move(call);
+  AskForTokens(organisation);
+}
+
+void Node::OnShares(const wire::Shares& shares) {
+  rate_share_.Apply(shares, now_);
+  for (const wire::Shares::Row& row : shares.rows()) {
+    auto waits = token_waits_.find(row.organisation());
+    if (waits == token_waits_.end() || row.per_second() > 0)
+      continue;
+    auto waiting = std::exchange(waits->second, {});
+    token_waits_.erase(waits);
+    for (const auto& [since, id] : waiting) {
+      auto found = calls_.find(id);
+      if (found == calls_.end())
+        continue;
+      if (!rate_share_.TakeCommon(row.organisation(), now_)) {
+        Refuse(found->second, Reason::kOverRate,
+               SpreadRetryAfter(kUnknownHint));
+        continue;
+      }
+      Call call = std::move(found->second);
+      EndCall(call);
+      calls_.erase(found);
+      Admit(std::move(call), false);
+    }
+  }
+}
+
+void Node::ExpireTokenWaits() {
+  for (auto& [organisation, waiting] : token_waits_) {
+    while (!waiting.empty() && now_ - waiting.front().first > kTokenWait) {
+      CallId id = waiting.front().second;
+      waiting.pop_front();
+      auto found = calls_.find(id);
+      if (found != calls_.end())
+        Refuse(found->second, Reason::kRateShareUnavailable,
+               SpreadRetryAfter(kUnknownHint));
+    }
+  }
+  std::erase_if(token_waits_,
+                [](const auto& item) { return item.second.empty(); });
+}
+
 void Node::On(const CallerLeft& event) {
   auto found = calls_.find(event.call);
   if (found == calls_.end())
@@ -387,6 +452,8 @@
   Detach(found->second);
   EndCall(found->second);
   calls_.erase(found);
+  if (call.stream == 0)
+    return;
   if (!call.link) {
     CancelWork(WorkId{call.stream});
     return;
@@ -407,8 +474,10 @@
     LinkId link = call.link;
     uint64_t stream = call.stream;
     Detach(call);
-    call.may_have_run = true;
+    call.may_have_run = call.may_have_run || stream != 0;
     Refuse(call, Reason::kDeadline, milliseconds(0));
+    if (stream == 0)
+      continue;
     if (!link) {
       CancelWork(WorkId{stream});
       continue;
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -43,7 +43,7 @@
 /// Taken off a confirmation that another node passes on.
 constexpr milliseconds kConfirmationMargin = 150ms;
 /// Nodes for each holder of rates.
-constexpr size_t kNodesPerHolder = 64;
+constexpr size_t kNodesPerHolder = 16;
 
 /// FNV-1a, the same on all nodes.
 uint64_t Hash(std::string_view text) {
@@ -492,7 +492,7 @@
       OnDemand(event.link, frame.demand());
       return;
     case wire::Frame::kShares:
-      rate_share_.Apply(frame.shares(), now_);
+      OnShares(frame.shares());
       return;
     case wire::Frame::kQuarantined:
       if (quarantine_.Merge(frame.quarantined().entries(), now_))
@@ -562,25 +562,50 @@
   next_demand_ = now_ + kDemandInterval;
   std::map<NodeId, wire::Demand> by_holder;
   wire::Demand demand_here = rate_share_.Demand(now_);
-  for (wire::Demand::Row& row : *demand_here.mutable_rows())
-    *by_holder[RateHolderFor(row.organisation())].add_rows() = std::move(row);
-  for (auto& [holder, demand] : by_holder) {
-    if (holder == identity_.node) {
-      rate_share_.Apply(rate_holder_.OnDemand(identity_.node, demand, *config_,
-                                              NodeCount(), now_),
-                        now_);
+  for (wire::Demand::Row& row : *demand_here.mutable_rows()) {
+    auto limits = config_->organisations.find(row.organisation());
+    // Tokens of a common bucket are asked for one by one.
+    if (limits == config_->organisations.end() ||
+        TakesCommonTokens(limits->second, NodeCount())) {
       continue;
     }
-    auto member = members_.find(holder);
-    if (member == members_.end() || !member->second.link)
-      continue;
-    auto link = links_.find(member->second.link);
-    if (link == links_.end() || !link->second.open)
-      continue;
-    auto frame = std::make_shared<wire::Frame>();
-    *frame->mutable_demand() = std::move(demand);
-    Send(member->second.link, std::move(frame));
+    *by_holder[RateHolderFor(row.organisation())].add_rows() = std::move(row);
+  }
+  for (auto& [holder, demand] : by_holder)
+    SendDemand(holder, std::move(demand));
+}
+
+bool Node::CanReach(const NodeId& node) const {
+  if (node == identity_.node)
+    return true;
+  auto member = members_.find(node);
+  if (member == members_.end())
+    return false;
+  auto link = links_.find(member->second.link);
+  return link != links_.end() && link->second.open;
+}
+
+void Node::SendDemand(const NodeId& holder, wire::Demand demand) {
+  if (holder == identity_.node) {
+    OnShares(rate_holder_.OnDemand(identity_.node, demand, *config_,
+                                   NodeCount(), now_));
+    return;
   }
+  auto member = members_.find(holder);
+  if (member == members_.end() || !member->second.link)
+    return;
+  auto frame = std::make_shared<wire::Frame>();
+  *frame->mutable_demand() = std::move(demand);
+  Send(member->second.link, std::move(frame));
+}
+
+void Node::AskForTokens(const std::string& organisation) {
+  wire::Demand demand;
+  wire::Demand::Row* row = demand.add_rows();
+  row->set_organisation(organisation);
+  row->set_tokens(rate_share_.TokensWanted(
+      organisation, token_waits_[organisation].size(), now_));
+  SendDemand(RateHolderFor(organisation), std::move(demand));
 }
 
 void Node::OnDemand(LinkId link, const wire::Demand& demand) {
--- a/src/mesh/rate_share.cc
+++ b/src/mesh/rate_share.cc
@@ -17,11 +17,45 @@
 constexpr double kFallbackPart = 0.7;
 /// Smallest burst of a node: requests of a few callers come in clumps.
 constexpr double kLeastBurst = 3;
+/// Rate for each node below which tokens come from a common bucket, requests
+/// per second.
+constexpr double kLeastShare = 2.5;
+/// Time for which tokens are asked for ahead, and for which they hold.
+constexpr std::chrono::milliseconds kTokensAhead{200};
+constexpr std::chrono::milliseconds kTokensHold{1000};
 /// Demand below this counts as none, requests per second.
 constexpr double kLeastDemand = 0.05;
 
 }  // namespace
 
+bool TakesCommonTokens(const OrganisationLimits& limits, size_t nodes) {
+  return limits.rate > 0 &&
+         limits.rate < kLeastShare * static_cast<double>(nodes);
+}
+
+bool RateShare::TakeCommon(const std::string& organisation, TimePoint now) {
+  Bucket& bucket = buckets_[organisation];
+  Decay(bucket, now);
+  bucket.arrivals += 1;
+  if (now >= bucket.common_until)
+    bucket.common = 0;
+  if (bucket.common == 0)
+    return false;
+  --bucket.common;
+  return true;
+}
+
+uint32_t RateShare::TokensWanted(const std::string& organisation,
+                                 size_t waiting,
+                                 TimePoint now) {
+  Bucket& bucket = buckets_[organisation];
+  Decay(bucket, now);
+  Seconds window = kDemandWindow;
+  Seconds ahead = kTokensAhead;
+  double expected = bucket.arrivals / window.count() * ahead.count();
+  return static_cast<uint32_t>(waiting + static_cast<size_t>(expected));
+}
+
 void RateShare::Decay(Bucket& bucket, TimePoint now) {
   Seconds passed = now - bucket.counted;
   Seconds window = kDemandWindow;
@@ -48,7 +82,8 @@
     double part =
         kFallbackPart / static_cast<double>(std::max<size_t>(nodes, 1));
     bucket.rate = limits.rate * part;
-    bucket.burst = std::max(limits.burst * part, kLeastBurst);
+    double burst = limits.burst * part;
+    bucket.burst = std::max(burst, std::min(kLeastBurst, 1 + burst));
     if (!bucket.started)
       bucket.tokens = bucket.burst;
   }
@@ -76,6 +111,12 @@
     if (found == buckets_.end())
       continue;
     Bucket& bucket = found->second;
+    if (row.tokens() > 0) {
+      bucket.common += row.tokens();
+      bucket.common_until = now + kTokensHold;
+    }
+    if (row.per_second() <= 0)
+      continue;
     Refill(bucket, now);
     bucket.rate = row.per_second();
     bucket.burst = row.burst();
@@ -99,6 +140,23 @@
   return demand;
 }
 
+uint32_t RateHolder::TakeTokens(const OrganisationLimits& limits,
+                                uint32_t wanted,
+                                TimePoint now) {
+  auto [found, added] = common_.try_emplace(limits.name);
+  CommonBucket& bucket = found->second;
+  // A new holder does not know what the one before has given.
+  if (added)
+    bucket = {limits.burst / 2, now};
+  Seconds passed = now - bucket.filled;
+  bucket.filled = now;
+  bucket.tokens = std::min(std::max(limits.burst, 1.0),
+                           bucket.tokens + limits.rate * passed.count());
+  auto given = std::min(wanted, static_cast<uint32_t>(bucket.tokens));
+  bucket.tokens -= given;
+  return given;
+}
+
 wire::Shares RateHolder::OnDemand(const NodeId& node,
                                   const wire::Demand& demand,
                                   const FleetConfig& config,
@@ -111,6 +169,12 @@
     auto limits = config.organisations.find(row.organisation());
     if (limits == config.organisations.end() || limits->second.rate <= 0)
       continue;
+    if (TakesCommonTokens(limits->second, nodes)) {
+      wire::Shares::Row* given = shares.add_rows();
+      given->set_organisation(row.organisation());
+      given->set_tokens(TakeTokens(limits->second, row.tokens(), now));
+      continue;
+    }
     auto& reports = demand_[row.organisation()];
     std::erase_if(reports, [now](const auto& item) {
       return now - item.second.time > kDemandKept;
--- a/src/mesh/rate_share.h
+++ b/src/mesh/rate_share.h
@@ -14,9 +14,15 @@
 /// Load pattern: one organisation sends many times its rate at all nodes at
 /// once, or its callers move between nodes. A holder divides each rate by the
 /// nodes' demand several times a second; a node that does not hear from the
-/// holder falls back to a small fixed part.
+/// holder falls back to a small fixed part. Where a rate is small for the
+/// number of nodes, shares would be less than a request: nodes then ask the
+/// holder for single tokens of one common bucket.
 namespace comfreylock::mesh {
 
+/// @return whether an organisation's requests take tokens of a common bucket.
+/// @param nodes number of nodes that admit requests.
+bool TakesCommonTokens(const OrganisationLimits& limits, size_t nodes);
+
 /// Seen from one node: admits requests within its shares.
 class RateShare {
  public:
@@ -32,6 +38,17 @@
                                  size_t nodes,
                                  TimePoint now);
 
+  /// Asks for a token of the common bucket.
+  /// @return whether one is left from before; it is taken then.
+  bool TakeCommon(const std::string& organisation, TimePoint now);
+
+  /// @return the tokens to ask for: what waits, and what is expected until the
+  ///     answer.
+  /// @param waiting requests that wait for a token.
+  uint32_t TokensWanted(const std::string& organisation,
+                        size_t waiting,
+                        TimePoint now);
+
   /// Gives a token back for a request that has not run.
   void GiveBack(const std::string& organisation);
 
@@ -43,6 +60,8 @@
 
  private:
   struct Bucket {
+    uint32_t common = 0;  ///< Tokens of the common bucket.
+    TimePoint common_until;
     double tokens = 0;
     double rate = 0;
     double burst = 0;
@@ -74,12 +93,23 @@
                         TimePoint now);
 
  private:
+  /// Tokens that nodes ask for one by one.
+  struct CommonBucket {
+    double tokens = 0;
+    TimePoint filled;
+  };
+
+  uint32_t TakeTokens(const OrganisationLimits& limits,
+                      uint32_t wanted,
+                      TimePoint now);
+
   struct Reported {
     double per_second = 0;
     TimePoint time;
   };
 
   std::map<std::string, std::map<NodeId, Reported>> demand_;
+  std::map<std::string, CommonBucket> common_;
 };
 
 }  // namespace comfreylock::mesh
--- a/tests/mesh/decisions_test.cc
+++ b/tests/mesh/decisions_test.cc
@@ -303,6 +303,45 @@
   EXPECT_LE(admitted, (48 * 5 + 48) * 1.1 + 20);
 }
 
+// Found on ertis-etch-grown, scale-1 (QUOTA): with 91 nodes, each with a burst
+// of its own, an organisation with a small rate got many times its burst.
+TEST(RateShareTest, ASmallRateOverManyNodesComesFromOneBucket) {
+  FleetConfig config;
+  config.organisations["acme"] = {"acme", std::nullopt, 10, 10};
+  const OrganisationLimits& limits = config.organisations["acme"];
+  ASSERT_TRUE(TakesCommonTokens(limits, 91));
+  ASSERT_FALSE(TakesCommonTokens(limits, 3));
+  RateHolder holder;
+  std::vector<RateShare> nodes(91);
+  TimePoint now(100s);
+  int admitted = 0;
+  int offered = 0;
+  auto run = [&](milliseconds time, int every) {
+    admitted = offered = 0;
+    for (milliseconds t{0}; t < time; t += 10ms) {
+      now += 10ms;
+      if (t.count() % every != 0)
+        continue;
+      RateShare& node = nodes[static_cast<size_t>(++offered * 37) % 91];
+      if (node.TakeCommon("acme", now)) {
+        ++admitted;
+        continue;
+      }
+      wire::Demand demand;
+      demand.add_rows()->set_organisation("acme");
+      demand.mutable_rows(0)->set_tokens(node.TokensWanted("acme", 1, now));
+      node.Apply(holder.OnDemand("node", demand, config, 91, now), now);
+      admitted += node.TakeCommon("acme", now) ? 1 : 0;
+    }
+  };
+  run(5s, 10);
+  EXPECT_LE(admitted, (10 * 5 + 10) * 1.1 + 20);
+  EXPECT_GE(admitted, 10 * 5 * 0.9);
+  // Within the rate nothing is refused.
+  run(10s, 150);
+  EXPECT_GE(admitted, 0.97 * offered);
+}
+
 TEST(RateShareTest, WithoutALimitEverythingIsAdmitted) {
   RateShare share;
   OrganisationLimits limits{"acme", std::nullopt, 0, 0};
