Refuse nothing for good by a configuration that is not the newest

Change: once another node tells of a newer version, unknown keys and routes get 503, and after 1 s every request, until the node has read it. Test: NodeTest.AnOutdatedConfigRefusesNothingForGood.

--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -194,6 +194,10 @@
   /// @return the request at this host's target that made the call, or null.
   const Work* ParentOf(const wire::Forward& forward) const;
   bool ConfigFresh() const;
+  /// @return whether another node has a newer configuration.
+  bool ConfigOutdated() const {
+    return config_ && newest_version_ > config_->version;
+  }
   bool IsQuarantined(const wire::Forward& forward) const;
   /// Sends the call to a target, or refuses it.
   void Place(Call& call);
@@ -284,6 +288,7 @@
   TimePoint config_confirmed_;
   bool config_was_fresh_ = false;
   uint64_t newest_version_ = 0;  ///< That any node told of.
+  TimePoint newer_since_;        ///< When the first newer one was told of.
   uint64_t told_version_ = 0;
   std::map<const Route*, std::vector<double>> split_credit_;
 
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -20,6 +20,8 @@
 /// A node that has not heard from the store for this time does not refuse a key
 /// or route for good: it may have missed one that was added.
 constexpr milliseconds kDefiniteAge = 3600ms;
+/// Time for which a node goes on with a configuration that is not the newest.
+constexpr milliseconds kOutdatedTime = 1000ms;
 /// Placements of one request after which it is refused to the caller.
 constexpr uint32_t kMostPlacements = 6;
 /// Longest wait for a token of a common bucket.
@@ -113,7 +115,11 @@
 Reason Node::Classify(Call& call, const CallerRequest& request) {
   if (!config_)
     return Reason::kNoBundle;
-  bool definite = now_ - config_confirmed_ < kDefiniteAge;
+  // The store may turn this node away while others have a newer one.
+  bool outdated = ConfigOutdated();
+  if (outdated && now_ - newer_since_ > kOutdatedTime)
+    return Reason::kIsolated;
+  bool definite = !outdated && now_ - config_confirmed_ < kDefiniteAge;
   wire::Forward& forward = *call.forward;
   const Route* route = config_->FindRoute(request.host, forward.path());
   if (!route)
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -515,7 +515,10 @@
   // What another node knows of the configuration is as old as it says, and as
   // the message. The first ones may all have been delayed.
   microseconds delay = DelayOf(link, load.sent_us());
+  bool was_outdated = ConfigOutdated();
   newest_version_ = std::max(newest_version_, load.config_version());
+  if (ConfigOutdated() && !was_outdated)
+    newer_since_ = now_;
   bool same = config_ && load.config_version() == config_->version;
   if (same && ++link.loads > kLoadsForClock) {
     TimePoint confirmed =
--- a/tests/mesh/node_test.cc
+++ b/tests/mesh/node_test.cc
@@ -466,6 +466,30 @@
   EXPECT_TRUE(node_->StatusAt(now_).config_outdated);
 }
 
+// Found by a hunt (ertis-etch, trouble-1, seed 766131314865, CONFIG): the store
+// turned a node away, and it refused a new key for good by an old version.
+TEST_F(NodeTest, AnOutdatedConfigRefusesNothingForGood) {
+  Configure();
+  LinkId link = Join("there");
+  EXPECT_EQ(All<RefuseCaller>(Call("/read/1", "new"))[0].reason,
+            Reason::kKeyUnknown);
+  auto frame = std::make_shared<wire::Frame>();
+  frame->mutable_load()->set_config_version(6);
+  frame->mutable_load()->set_serving(true);
+  frame->mutable_load()->set_slots(10);
+  frame->mutable_load()->set_service("shop");
+  Feed(FrameReceived{link, frame});
+  EXPECT_EQ(All<RefuseCaller>(Call("/read/1", "new"))[0].reason,
+            Reason::kIsolated);
+  EXPECT_EQ(All<SendForward>(Call("/read/1")).size(), 1u);
+  // Not even open routes are served by a version that was replaced long ago.
+  now_ += 1100ms;
+  EXPECT_EQ(All<RefuseCaller>(Call("/inner/1", ""))[0].reason,
+            Reason::kIsolated);
+  Feed(ConfigRead{Config(6), now_});
+  EXPECT_TRUE(All<RefuseCaller>(Call("/inner/1", "")).empty());
+}
+
 // Parts of a split keep to their weights over short times.
 TEST_F(NodeTest, SplitsKeepTheirWeights) {
   auto config = Config(6);
