A stopping node goes on serving the calls of its target; one clock

Cause (read-through): 2.7 s after a stop began, calls of the target were refused too, although the target still worked for other nodes' requests. Change: only callers' requests are refused then. ReadNodeClock stands once. Test: NodeTest.AStoppingNodeServesTheCallsOfItsTarget.

--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -2,7 +2,6 @@
 #include <utility>
 
 #include "comfreylock/config.h"
-
 #include "mesh/node.h"
 
 /// Decisions about callers' requests at the node where they arrive.
@@ -57,9 +56,10 @@
     return;
   }
   // The target's own calls go on as long as it works for others.
-  if (!call.forward->onward())
+  bool onward = call.forward->onward();
+  if (!onward)
     last_call_ = now_;
-  if (stopping_ && now_ - stop_since_ > kTakeWhileStopping) {
+  if (stopping_ && !onward && now_ - stop_since_ > kTakeWhileStopping) {
     Refuse(call, Reason::kDraining, kShortestHint);
     return;
   }
--- a/src/mesh/shell.cc
+++ b/src/mesh/shell.cc
@@ -1,10 +1,9 @@
 #include "mesh/shell.h"
 
-#include <time.h>
-
 #include <algorithm>
 
 #include "mesh/socket_options.h"
+#include "node_clock.h"
 
 namespace comfreylock::mesh {
 namespace {
@@ -32,15 +31,6 @@
 
 }  // namespace
 
-TimePoint ReadClock() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  auto since =
-      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-  return TimePoint(
-      std::chrono::duration_cast<std::chrono::microseconds>(since));
-}
-
 Shell::Shell(asio::io_context& context,
              ShellSettings settings,
              LineLog& log,
@@ -51,7 +41,7 @@
       log_(log),
       caller_dialect_(callers),
       target_dialect_(targets),
-      node_(std::make_unique<Node>(settings_.identity, ReadClock())),
+      node_(std::make_unique<Node>(settings_.identity, ReadNodeClock())),
       callers_(context,
                {[this](CallId call, HttpRequest request) {
                   OnRequest(call, std::move(request));
@@ -97,7 +87,7 @@
     callers_.Respond(call, caller_dialect_.Encode(refusal));
     return;
   }
-  pending_[call] = {ReadClock(), decoded->forward};
+  pending_[call] = {ReadNodeClock(), decoded->forward};
   Feed(RequestArrived{call, std::move(*decoded)});
 }
 
@@ -116,7 +106,7 @@
 }
 
 void Shell::Reduce(EventBody event) {
-  for (auto& effect : node_->Reduce(Event{ReadClock(), std::move(event)}))
+  for (auto& effect : node_->Reduce(Event{ReadNodeClock(), std::move(event)}))
     std::visit([this](const auto& body) { Apply(body); }, effect);
 }
 
@@ -127,11 +117,11 @@
   if (wake_at_ <= due && wake_at_ != TimePoint())
     return;
   wake_at_ = due;
-  wake_.expires_after(std::max(due - ReadClock(), TimePoint::duration(0)));
+  wake_.expires_after(std::max(due - ReadNodeClock(), TimePoint::duration(0)));
   wake_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
-    lag_ = std::chrono::duration_cast<milliseconds>(ReadClock() - wake_at_);
+    lag_ = std::chrono::duration_cast<milliseconds>(ReadNodeClock() - wake_at_);
     wake_at_ = TimePoint();
     Feed(TimePassed{});
     log_.Flush();
@@ -148,7 +138,7 @@
 }
 
 NodeStatus Shell::status() const {
-  return node_->StatusAt(ReadClock());
+  return node_->StatusAt(ReadNodeClock());
 }
 
 std::string Shell::MetricsText() const {
@@ -170,7 +160,7 @@
     return;
   const wire::Forward& forward = *found->second.forward;
   metrics_.CountAnswer(forward.route(), forward.organisation(), result,
-                       ReadClock() - found->second.since);
+                       ReadNodeClock() - found->second.since);
   pending_.erase(found);
 }
 
@@ -185,8 +175,8 @@
 }
 
 void Shell::Apply(const RunOnTarget& effect) {
-  auto left =
-      std::chrono::duration_cast<milliseconds>(effect.deadline - ReadClock());
+  auto left = std::chrono::duration_cast<milliseconds>(effect.deadline -
+                                                       ReadNodeClock());
   HttpClient::Options options;
   options.head_request = effect.forward->method() == "HEAD";
   options.fresh = !effect.forward->idempotent();
--- a/src/mesh/shell.h
+++ b/src/mesh/shell.h
@@ -101,9 +101,6 @@
   std::unordered_map<CallId, Pending> pending_;
 };
 
-/// @return the present time: it goes on while the host is suspended.
-TimePoint ReadClock();
-
 }  // namespace comfreylock::mesh
 
 #endif  // COMFREYLOCK_MESH_SHELL_H_
--- /dev/null
+++ b/src/node_clock.cc
@@ -0,0 +1,16 @@
+#include "node_clock.h"
+
+#include <time.h>
+
+namespace comfreylock {
+
+TimePoint ReadNodeClock() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  auto since =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return TimePoint(
+      std::chrono::duration_cast<std::chrono::microseconds>(since));
+}
+
+}  // namespace comfreylock
--- a/src/shell.cc
+++ b/src/shell.cc
@@ -1,7 +1,5 @@
 #include "shell.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <csignal>
 
@@ -13,6 +11,7 @@
 #include "comfreylock/config.h"
 #include "crypto.h"
 #include "log_writer.h"
+#include "node_clock.h"
 
 namespace comfreylock {
 namespace {
@@ -41,15 +40,6 @@
 
 }  // namespace
 
-TimePoint ReadNodeClock() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  auto since =
-      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-  return TimePoint(
-      std::chrono::duration_cast<std::chrono::microseconds>(since));
-}
-
 Shell::Shell(NodeSettings settings) : Shell(settings, IdentityOf(settings)) {}
 
 Shell::Shell(NodeSettings settings, const NodeIdentity& identity)
--- a/src/shell.h
+++ b/src/shell.h
@@ -76,9 +76,6 @@
   uint64_t last_id_ = 0;
 };
 
-/// @return the present time of NodeClock (CLOCK_BOOTTIME).
-TimePoint ReadNodeClock();
-
 }  // namespace comfreylock
 
 #endif  // COMFREYLOCK_SHELL_H_
--- a/tests/mesh/fleet_model.cc
+++ b/tests/mesh/fleet_model.cc
@@ -254,7 +254,7 @@
   ++state.running;
   overfull_ =
       std::max(overfull_, state.running - static_cast<int>(state.target.slots));
-  auto record = std::make_shared<Run1>(Run1{node});
+  auto record = std::make_shared<ModelRun>(ModelRun{node});
   runs_[{node, run.work.value}] = record;
   const ModelRoute& route = RouteNamed(run.forward->route());
   double spread = std::uniform_real_distribution<double>(0.6, 1.4)(random_);
--- a/tests/mesh/fleet_model.h
+++ b/tests/mesh/fleet_model.h
@@ -107,7 +107,7 @@
     double per_second = 0;
     double owed = 0;
   };
-  struct Run1 {
+  struct ModelRun {
     size_t node = 0;
     bool cancelled = false;
   };
@@ -136,7 +136,7 @@
   std::priority_queue<Later> later_;
   std::map<std::pair<size_t, uint64_t>, std::pair<size_t, uint64_t>> links_;
   std::map<std::pair<size_t, uint64_t>, Caller> callers_;
-  std::map<std::pair<size_t, uint64_t>, std::shared_ptr<Run1>> runs_;
+  std::map<std::pair<size_t, uint64_t>, std::shared_ptr<ModelRun>> runs_;
   std::map<std::string, int> run_counts_;
   std::map<std::string, ModelResult> results_;
   TimePoint now_{std::chrono::seconds(100)};
--- a/tests/mesh/node_test.cc
+++ b/tests/mesh/node_test.cc
@@ -526,5 +526,15 @@
   EXPECT_EQ(All<Stop>(Pass(600ms)).size(), 1u);
 }
 
+// The target still works for others, whose requests would fail with its calls.
+TEST_F(NodeTest, AStoppingNodeServesTheCallsOfItsTarget) {
+  Configure();
+  Feed(TargetReported{Report("i1", 1, 1)});
+  Feed(ShutdownRequested{});
+  now_ += 3s;
+  EXPECT_EQ(All<RefuseCaller>(Call("/read/1"))[0].reason, Reason::kDraining);
+  EXPECT_EQ(All<RunOnTarget>(Call("/inner/1", "")).size(), 1u);
+}
+
 }  // namespace
 }  // namespace comfreylock::mesh
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "mesh/shell.h"
+#include "node_clock.h"
 #include "platform/codec.h"
 #include "platform/config_source.h"
 #include "platform/settings.h"
@@ -51,7 +52,7 @@
                targets_),
         store_(context,
                Address(0),
-               mesh::ReadClock,
+               ReadNodeClock,
                [this](StoreCallId call, StoreResult result) {
                  shell_.Feed(mesh::StoreReplied{call, std::move(result)});
                }),
