--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -238,7 +238,7 @@
   void TellLoad();
   static std::string FingerprintOfForward(const wire::Forward& forward);
 
-  // Fleet (node_fleet.cc).
+  // Records in the store (node_records.cc).
   using StoreHandler = std::function<void(const StoreResult&)>;
   void Ask(StoreRequest request, StoreHandler handler);
   void AdvanceRecord();
@@ -251,6 +251,8 @@
   void LearnMember(const StoreEntry& entry);
   void ForgetRecord(const std::string& key);
   void RemoveMember(const NodeId& node);
+
+  // Other nodes (node_fleet.cc).
   void ConnectMembers();
   void CloseSilentLinks();
   void CloseLinkOf(LinkId id);
