--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -414,10 +414,12 @@
   bool changed = std::exchange(told_serving_, load.serving()) != load.serving();
   changed |= std::exchange(told_version_, load.config_version()) !=
              load.config_version();
+  bool watcher = WatchesConfig();
   for (auto& [id, link] : links_) {
     if (!link.open || !link.accepted)
       continue;
-    bool busy = now_ - link.last_forward < kBusyTime;
+    // What a watcher knows of the configuration must not grow old on its way.
+    bool busy = watcher || now_ - link.last_forward < kBusyTime;
     auto interval = busy ? kBusyLoadInterval : kIdleLoadInterval;
     if (!changed && now_ - link.last_load < interval)
       continue;
