Rank requests by organisation first, then by route

Cause: an organisation's importance replaced that of the route.

Change: a request's rank is the pair of both, organisation first. Queues, waits and the throttle keep one lane for each rank; refusals log it.

--- a/include/comfreylock/fair_queue.h
+++ b/include/comfreylock/fair_queue.h
@@ -33,6 +33,9 @@
 /// Waiting requests.
 class FairQueue {
  public:
+  /// Importances that are told apart; greater ones count as the last.
+  static constexpr uint32_t kLanes = 12;
+
   /// @param item request that is not in the queue yet.
   void Push(const WorkItem& item, TimePoint now);
 
@@ -108,7 +111,7 @@
   WorkItem Extract(WorkId work);
   static void EndBusyPeriod(Lane& lane);
 
-  std::array<Lane, kImportanceClasses> lanes_;
+  std::array<Lane, kLanes> lanes_;
   std::unordered_map<WorkId, Place> index_;
   /// Requests by age; [suspect].
   std::array<std::map<uint64_t, WorkId>, 2> ages_;
--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -24,7 +24,7 @@
 }
 
 void FairQueue::Push(const WorkItem& item, TimePoint now) {
-  uint32_t importance = std::min(item.importance, kImportanceClasses - 1);
+  uint32_t importance = std::min(item.importance, kLanes - 1);
   Lane& lane = lanes_[importance];
   auto [found, added] =
       lane.flows.try_emplace({item.organisation, item.run_alone});
@@ -109,8 +109,8 @@
 }
 
 std::optional<WorkItem> FairQueue::EvictFor(const WorkItem& newcomer) {
-  uint32_t importance = std::min(newcomer.importance, kImportanceClasses - 1);
-  for (uint32_t i = kImportanceClasses; i-- > importance;) {
+  uint32_t importance = std::min(newcomer.importance, kLanes - 1);
+  for (uint32_t i = kLanes; i-- > importance;) {
     Lane& lane = lanes_[i];
     if (lane.backlog.empty())
       continue;
--- a/src/mesh/call_throttle.cc
+++ b/src/mesh/call_throttle.cc
@@ -22,10 +22,6 @@
 constexpr double kLeastAdmitted = 0.04;
 constexpr double kPermille = 1000;
 
-uint32_t Class(uint32_t importance) {
-  return std::min(importance, kImportanceClasses - 1);
-}
-
 }  // namespace
 
 double CallFailures::Decayed(const Counts& counts, TimePoint now) {
@@ -35,7 +31,7 @@
 }
 
 void CallFailures::Count(uint32_t importance, bool failed, TimePoint now) {
-  Counts& counts = counts_[Class(importance)];
+  Counts& counts = counts_[ClampRank(importance)];
   double kept = Decayed(counts, now);
   counts.calls = counts.calls * kept + 1;
   counts.failed = counts.failed * kept + (failed ? 1 : 0);
@@ -43,7 +39,7 @@
 }
 
 uint32_t CallFailures::Permille(uint32_t importance, TimePoint now) const {
-  const Counts& counts = counts_[Class(importance)];
+  const Counts& counts = counts_[ClampRank(importance)];
   if (counts.calls * Decayed(counts, now) < kLeastCalls)
     return 0;
   return static_cast<uint32_t>(kPermille * counts.failed / counts.calls);
@@ -56,7 +52,7 @@
   auto found = services_.find(service);
   if (found == services_.end())
     found = services_.emplace(std::string(service), States()).first;
-  State& state = found->second[Class(importance)];
+  State& state = found->second[ClampRank(importance)];
   if (now - state.changed < kInterval)
     return;
   state.changed = now;
@@ -76,8 +72,9 @@
 double CallThrottle::AdmittedPart(std::string_view service,
                                   uint32_t importance) const {
   auto found = services_.find(service);
-  return found == services_.end() ? 1
-                                  : found->second[Class(importance)].admitted;
+  return found == services_.end()
+             ? 1
+             : found->second[ClampRank(importance)].admitted;
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/call_throttle.h
+++ b/src/mesh/call_throttle.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
-#include "comfreylock/config.h"
 #include "comfreylock/types.h"
+#include "mesh/rank.h"
 
 /// Refusal at the entry of what services further down cannot carry.
 ///
@@ -37,7 +37,7 @@
   };
   static double Decayed(const Counts& counts, TimePoint now);
 
-  std::array<Counts, kImportanceClasses> counts_;
+  std::array<Counts, kRanks> counts_;
 };
 
 /// At the entry: the part of the requests that is admitted.
@@ -65,7 +65,7 @@
     double admitted = 1;
     TimePoint changed;
   };
-  using States = std::array<State, kImportanceClasses>;
+  using States = std::array<State, kRanks>;
 
   std::map<std::string, States, std::less<>> services_;
 };
--- a/src/mesh/fleet_config.h
+++ b/src/mesh/fleet_config.h
@@ -36,7 +36,7 @@
 /// What one organisation may send, over all nodes.
 struct OrganisationLimits {
   std::string name;
-  std::optional<uint32_t> importance;  ///< Goes before the route's.
+  std::optional<uint32_t> importance;  ///< See `RankOf`.
   double rate = 0;                     ///< Requests per second; 0: no limit.
   double burst = 0;                    ///< Requests.
 };
--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -73,7 +73,7 @@
   status.calls = calls_.size();
   status.members = members_.size();
   status.links = links_.size();
-  for (uint32_t i = 0; i < kImportanceClasses; ++i)
+  for (uint32_t i = 0; i < kRanks; ++i)
     status.failed_calls_permille[i] = call_failures_.Permille(i, now);
   status.stopping = stopping_;
   status.watches_config = WatchesConfig();
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -17,6 +17,7 @@
 #include "mesh/call_throttle.h"
 #include "mesh/events.h"
 #include "mesh/placement.h"
+#include "mesh/rank.h"
 #include "mesh/rate_share.h"
 #include "mesh/retry_allowance.h"
 #include "mesh/target_queue.h"
@@ -64,7 +65,7 @@
   size_t links = 0;
   /// Part of the target's calls that was refused for want of room, in
   /// thousandths, by the importance of the request that made them.
-  std::array<uint32_t, kImportanceClasses> failed_calls_permille{};
+  std::array<uint32_t, kRanks> failed_calls_permille{};
   bool ready = false;
   bool stopping = false;
   bool watches_config = false;   ///< Asks the store for all the others.
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -124,7 +124,7 @@
   const Route* route = config_->FindRoute(request.host, forward.path());
   if (!route)
     return definite ? Reason::kNoRoute : Reason::kIsolated;
-  uint32_t importance = route->importance;
+  uint32_t rank = RankOf(std::nullopt, route->importance);
   if (!route->open) {
     if (!ConfigFresh())
       return Reason::kIsolated;
@@ -135,7 +135,7 @@
     if (!organisation)
       return request.key.empty() ? Reason::kKeyMissing : Reason::kKeyUnknown;
     call.organisation = organisation->name;
-    importance = organisation->importance.value_or(importance);
+    rank = RankOf(organisation->importance, route->importance);
   }
   milliseconds left = request.deadline.value_or(kDefaultDeadline);
   if (route->timeout.count() > 0)
@@ -148,14 +148,13 @@
   // are as important as those, and useful to the end.
   if (route->open) {
     const Work* parent = ParentOf(forward);
-    importance = parent ? parent->forward->importance() : 0;
+    rank = parent ? parent->forward->importance() : 0;
     call.useful_until = call.deadline;
   }
-  importance = std::min(importance, kImportanceClasses - 1);
   forward.set_onward(route->open);
   forward.set_service(call.service);
   forward.set_organisation(call.organisation);
-  forward.set_importance(importance);
+  forward.set_importance(rank);
   forward.set_idempotent(route->idempotent);
   forward.set_route(route->name);
   forward.set_caller_service(identity_.service);
@@ -357,6 +356,7 @@
            {"route", call.forward->route()},
            {"service", call.service},
            {"reason", std::string(InfoOf(reason).name)},
+           {"rank", std::to_string(call.forward->importance())},
            {"not_run", not_run ? "true" : "false"},
            {"peer", call.node},
            {"placements", std::to_string(call.tried.size())},
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -371,7 +371,7 @@
   load.set_slots(queue_.slots());
   load.set_in_flight(queue_.in_flight());
   load.set_queued(queue_.queued());
-  for (uint32_t importance = 0; importance < kImportanceClasses; ++importance) {
+  for (uint32_t importance = 0; importance < kRanks; ++importance) {
     auto wait = [this, importance](bool onward) {
       return static_cast<uint32_t>(
           queue_.ExpectedWait(importance, onward, now_).count());
--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "mesh/rank.h"
+
 namespace comfreylock::mesh {
 namespace {
 
@@ -10,8 +12,9 @@
 /// which are charged but not held back.
 constexpr double kUsedPart = 0.6;
 
-/// Part of the repeats that requests of each importance may use.
-constexpr std::array<double, 3> kPartOf = {1.0, 0.6, 0.35};
+/// Part of the repeats that requests of routes of each importance may
+/// use.
+constexpr std::array<double, kRouteImportances> kPartOf = {1.0, 0.6, 0.35};
 
 }  // namespace
 
@@ -59,7 +62,7 @@
   double repeats =
       std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0.0);
   double slack = bound_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
-  double part = kPartOf[std::min<size_t>(importance, kPartOf.size() - 1)];
+  double part = kPartOf[importance % kRouteImportances];
   if (repeats + 1 > kUsedPart * part * (bound_.ratio * requests + slack))
     return false;
   counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -33,10 +33,6 @@
 constexpr size_t kMostRoutes = 16;
 constexpr std::chrono::seconds kRouteKept{10};
 
-uint32_t LaneOf(uint32_t importance) {
-  return std::min(importance, kImportanceClasses - 1);
-}
-
 }  // namespace
 
 double UsableTime(bool onward) {
@@ -73,7 +69,7 @@
   item.work = work.work;
   item.organisation = work.onward ? "" : work.organisation;
   item.route = work.route;
-  item.importance = LaneOf(work.importance);
+  item.importance = ClampRank(work.importance);
   // The latest start with which the answer has its full worth.
   item.deadline = useful - service;
   state.queue.Push(item, now);
@@ -181,7 +177,7 @@
   bool call = HasRoom(kCall, now);
   bool request = HasRoom(kRequest, now);
   bool requests_before = false;
-  for (uint32_t lane = 0; lane < kImportanceClasses; ++lane) {
+  for (uint32_t lane = 0; lane < kRanks; ++lane) {
     requests_before |= kinds_[kRequest].waiting[lane] > 0;
     // Less important requests do not hold up calls.
     if ((call || !requests_before) && kinds_[kCall].waiting[lane] > 0)
@@ -200,7 +196,7 @@
     return microseconds(0);
   const KindState& state = kinds_[kind];
   uint32_t ahead = 1;
-  for (uint32_t lane = 0; lane <= LaneOf(importance); ++lane)
+  for (uint32_t lane = 0; lane <= ClampRank(importance); ++lane)
     ahead += state.waiting[lane];
   double mean = state.mean_us > 0 ? state.mean_us
                 : mean_us_ > 0    ? mean_us_
@@ -235,7 +231,7 @@
   auto found = waiting_.find(work);
   if (found == waiting_.end())
     return;
-  --kinds_[KindOf(found->second)].waiting[LaneOf(found->second.importance)];
+  --kinds_[KindOf(found->second)].waiting[ClampRank(found->second.importance)];
   waiting_.erase(found);
 }
 
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "comfreylock/config.h"
 #include "comfreylock/fair_queue.h"
 #include "comfreylock/types.h"
+#include "mesh/rank.h"
 #include "service_time.h"
 
 /// The queue beside a target: which requests run, wait, or are refused.
@@ -97,7 +97,7 @@
   /// The requests of one kind.
   struct KindState {
     FairQueue queue;
-    std::array<uint32_t, kImportanceClasses> waiting{};
+    std::array<uint32_t, kRanks> waiting{};
     uint32_t running = 0;
     double mean_us = 0;   ///< Smoothed time at the target.
     double arrivals = 0;  ///< Decaying count of offers.
--- a/tests/mesh/decisions_test.cc
+++ b/tests/mesh/decisions_test.cc
@@ -5,6 +5,7 @@
 
 #include "mesh/call_throttle.h"
 #include "mesh/placement.h"
+#include "mesh/rank.h"
 #include "mesh/rate_share.h"
 #include "mesh/retry_allowance.h"
 
@@ -158,6 +159,14 @@
   EXPECT_DOUBLE_EQ(throttle.AdmittedPart("shop", 2), 1);
 }
 
+// The organisation goes first, and the route decides within it.
+TEST(RankTest, OrganisationBeforeRoute) {
+  EXPECT_LT(RankOf(0, 2), RankOf(1, 0));
+  EXPECT_LT(RankOf(1, 0), RankOf(1, 2));
+  EXPECT_LT(RankOf(std::nullopt, 0), RankOf(std::nullopt, 1));
+  EXPECT_EQ(RankOf(99, 99), kRanks - 1);
+}
+
 TEST(CallThrottleTest, KeepsImportancesApart) {
   CallThrottle throttle;
   TimePoint now(10s);
--- a/tests/mesh/fleet_model.cc
+++ b/tests/mesh/fleet_model.cc
@@ -39,7 +39,8 @@
     config->hosts["h"].push_back(route);
     config->services.insert(from.service);
   }
-  config->organisations["acme"] = {"acme"};
+  // An organisation's importance must not level out that of its routes.
+  config->organisations["acme"] = {"acme", 1};
   config->keys["key"] = "acme";
   config->SortRoutes();
   for (size_t i = 0; i < targets.size(); ++i) {
--- a/tests/mesh/load_test.cc
+++ b/tests/mesh/load_test.cc
@@ -98,6 +98,26 @@
   EXPECT_LE(model.overfull(), 0);
 }
 
+// All organisations have the same importance. Guards against orders that are
+// served no better than views, since the organisation's importance hid that of
+// the route.
+TEST(LoadTest, RoutesOfOneOrganisationDiffer) {
+  std::vector<ModelTarget> targets = Targets();
+  targets[11].speed = 0.5;
+  FleetModel model(Routes(), targets);
+  OfferAll(model, 1);
+  model.Run(3s);
+  model.Leave(3);
+  model.Leave(7);
+  model.Run(4s);
+  model.ResetResults();
+  model.Run(10s);
+  // Orders need 13 of the 29 slots that are left, views 33, and lists 27.
+  EXPECT_GE(model.Result("order").served(), 0.8);
+  EXPECT_GE(model.Result("view").served(), 0.2);
+  EXPECT_GE(model.Result("list").served(), 0.15);
+}
+
 TEST(LoadTest, RecoversSoonAfterTheOverload) {
   FleetModel model(Routes(), Targets());
   OfferAll(model, 1);
