--- a/src/mesh/call_throttle.cc
+++ b/src/mesh/call_throttle.cc
@@ -30,29 +30,29 @@
   return std::exp2(-passed.count() / half.count());
 }
 
-void CallFailures::Count(uint32_t importance, bool failed, TimePoint now) {
-  Counts& counts = counts_[ClampRank(importance)];
+void CallFailures::Count(uint32_t rank, bool failed, TimePoint now) {
+  Counts& counts = counts_[ClampRank(rank)];
   double kept = Decayed(counts, now);
   counts.calls = counts.calls * kept + 1;
   counts.failed = counts.failed * kept + (failed ? 1 : 0);
   counts.time = now;
 }
 
-uint32_t CallFailures::Permille(uint32_t importance, TimePoint now) const {
-  const Counts& counts = counts_[ClampRank(importance)];
+uint32_t CallFailures::Permille(uint32_t rank, TimePoint now) const {
+  const Counts& counts = counts_[ClampRank(rank)];
   if (counts.calls * Decayed(counts, now) < kLeastCalls)
     return 0;
   return static_cast<uint32_t>(kPermille * counts.failed / counts.calls);
 }
 
 void CallThrottle::Learn(std::string_view service,
-                         uint32_t importance,
+                         uint32_t rank,
                          double failed,
                          TimePoint now) {
   auto found = services_.find(service);
   if (found == services_.end())
     found = services_.emplace(std::string(service), States()).first;
-  State& state = found->second[ClampRank(importance)];
+  State& state = found->second[ClampRank(rank)];
   if (now - state.changed < kInterval)
     return;
   state.changed = now;
@@ -64,17 +64,15 @@
 }
 
 bool CallThrottle::Admits(std::string_view service,
-                          uint32_t importance,
+                          uint32_t rank,
                           double random) const {
-  return random < AdmittedPart(service, importance);
+  return random < AdmittedPart(service, rank);
 }
 
 double CallThrottle::AdmittedPart(std::string_view service,
-                                  uint32_t importance) const {
+                                  uint32_t rank) const {
   auto found = services_.find(service);
-  return found == services_.end()
-             ? 1
-             : found->second[ClampRank(importance)].admitted;
+  return found == services_.end() ? 1 : found->second[ClampRank(rank)].admitted;
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/call_throttle.h
+++ b/src/mesh/call_throttle.h
@@ -23,11 +23,11 @@
 class CallFailures {
  public:
   /// Counts a call that ended.
-  /// @param importance of the request that made the call.
-  void Count(uint32_t importance, bool failed, TimePoint now);
+  /// @param rank of the request that made the call.
+  void Count(uint32_t rank, bool failed, TimePoint now);
 
   /// @return the part that failed, in thousandths; 0 without calls.
-  uint32_t Permille(uint32_t importance, TimePoint now) const;
+  uint32_t Permille(uint32_t rank, TimePoint now) const;
 
  private:
   struct Counts {
@@ -48,17 +48,15 @@
 
   /// Takes the part of failed calls that the targets of a service tell.
   void Learn(std::string_view service,
-             uint32_t importance,
+             uint32_t rank,
              double failed,
              TimePoint now);
 
   /// @param random uniform in [0, 1).
-  bool Admits(std::string_view service,
-              uint32_t importance,
-              double random) const;
+  bool Admits(std::string_view service, uint32_t rank, double random) const;
 
   /// @return the admitted part, 1 without failures.
-  double AdmittedPart(std::string_view service, uint32_t importance) const;
+  double AdmittedPart(std::string_view service, uint32_t rank) const;
 
  private:
   struct State {
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -65,9 +65,8 @@
   gauge("target_in_flight", status.in_flight);
   gauge("target_queued", status.queued);
   for (size_t i = 0; i < status.failed_calls_permille.size(); ++i) {
-    text += "comfreylock_failed_calls_permille{importance=\"" +
-            std::to_string(i) + "\"} " +
-            std::to_string(status.failed_calls_permille[i]) + "\n";
+    text += "comfreylock_failed_calls_permille{rank=\"" + std::to_string(i) +
+            "\"} " + std::to_string(status.failed_calls_permille[i]) + "\n";
   }
   for (const auto& [result, count] : answers_) {
     text += "comfreylock_answers_total{result=\"" + result + "\"} " +
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -109,6 +109,7 @@
     NodeId node;          ///< Where it is now.
     LinkId link;          ///< 0 for this host's own target.
     uint64_t stream = 0;  /// On `link`, or the number of the local work.
+    std::chrono::microseconds expected{0};  ///< Wait and service there.
     uint32_t placements = 0;
     uint32_t runs = 0;  ///< Targets that may have run it.
     bool may_have_run = false;
@@ -234,6 +235,9 @@
   bool IsNewerReport(const TargetReport& report) const;
   void OnTargetFailure(const Work& work, const TargetResult& result);
   void TargetDown();
+  using ByRank = google::protobuf::RepeatedField<uint32_t>;
+  /// Adds the expected wait of each rank.
+  void AddWaits(bool onward, ByRank& waits) const;
   wire::Load OwnLoad() const;
   void AdvanceTarget();
   void TellLoad();
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -70,7 +70,7 @@
   if (!AdmittedByThrottle(call)) {
     // The smaller the admitted part, the longer until there is room.
     double admitted =
-        call_throttle_.AdmittedPart(call.service, call.forward->importance());
+        call_throttle_.AdmittedPart(call.service, call.forward->rank());
     auto hint = std::chrono::duration_cast<microseconds>(
         kThrottledHint * (1 + (1 - admitted) / (2 * admitted)));
     Refuse(call, Reason::kOverload, SpreadRetryAfter(hint));
@@ -148,13 +148,13 @@
   // are as important as those, and useful to the end.
   if (route->open) {
     const Work* parent = ParentOf(forward);
-    rank = parent ? parent->forward->importance() : 0;
+    rank = parent ? parent->forward->rank() : 0;
     call.useful_until = call.deadline;
   }
   forward.set_onward(route->open);
   forward.set_service(call.service);
   forward.set_organisation(call.organisation);
-  forward.set_importance(rank);
+  forward.set_rank(rank);
   forward.set_idempotent(route->idempotent);
   forward.set_route(route->name);
   forward.set_caller_service(identity_.service);
@@ -212,7 +212,7 @@
 void Node::Place(Call& call) {
   bool onward = call.forward->onward();
   Placement::Request request{call.service, call.forward->route(),
-                             call.forward->importance(), onward};
+                             call.forward->rank(), onward};
   request.zone_tolerance = std::chrono::duration_cast<microseconds>(
       (call.useful_until - now_) *
       (onward ? kOnwardZoneTolerance : kZoneTolerance));
@@ -223,6 +223,7 @@
            SpreadRetryAfter(kUnknownHint));
     return;
   }
+  call.expected = choice->wait + choice->service;
   auto useful = static_cast<double>((call.useful_until - now_).count());
   auto left = static_cast<double>((call.deadline - now_).count());
   auto wait = static_cast<double>(choice->wait.count());
@@ -287,7 +288,7 @@
       CountOnwardEnd(call, failed, failed && outcome->calls_overloaded());
       // If its calls fail, so would those of another target.
       if (failed && !outcome->calls_failing() && MayRepeat(call) &&
-          retries_.Take(call.service, call.forward->importance(), NodeCount(),
+          retries_.Take(call.service, call.forward->rank(), NodeCount(),
                         now_)) {
         call.may_have_run = true;
         break;
@@ -306,7 +307,7 @@
       if (!placement_.HasOther(call.service, call.tried))
         call.tried.clear();
       call.shed = true;
-      if (!retries_.Take(call.service, call.forward->importance(), NodeCount(),
+      if (!retries_.Take(call.service, call.forward->rank(), NodeCount(),
                          now_)) {
         Refuse(call, Reason::kOverload, SpreadRetryAfter(kUnknownHint));
         return;
@@ -315,9 +316,8 @@
     default:
       ++call.runs;
       call.may_have_run = true;
-      if (!MayRepeat(call) ||
-          !retries_.Take(call.service, call.forward->importance(), NodeCount(),
-                         now_)) {
+      if (!MayRepeat(call) || !retries_.Take(call.service, call.forward->rank(),
+                                             NodeCount(), now_)) {
         bool late = now_ >= call.deadline || outcome->reason() == "deadline";
         Refuse(call, late ? Reason::kDeadline : Reason::kTargetFailed,
                milliseconds(0));
@@ -350,21 +350,26 @@
   if (not_run && InfoOf(reason).retry_after)
     refuse.retry_after = retry_after;
   effects_.push_back(std::move(refuse));
-  LogLine(LogCode::kCallRefused,
-          {{"request_id", call.forward->request_id()},
-           {"organisation", call.organisation},
-           {"route", call.forward->route()},
-           {"service", call.service},
-           {"reason", std::string(InfoOf(reason).name)},
-           {"rank", std::to_string(call.forward->importance())},
-           {"not_run", not_run ? "true" : "false"},
-           {"peer", call.node},
-           {"placements", std::to_string(call.tried.size())},
-           {"held_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                          now_ - call.arrived)
-                                          .count())},
-           {"config", config_ ? std::to_string(config_->version) : "none"},
-           {"config_age_ms", ConfigAge()}});
+  LogLine(
+      LogCode::kCallRefused,
+      {{"request_id", call.forward->request_id()},
+       {"organisation", call.organisation},
+       {"route", call.forward->route()},
+       {"service", call.service},
+       {"reason", std::string(InfoOf(reason).name)},
+       {"rank", std::to_string(call.forward->rank())},
+       {"not_run", not_run ? "true" : "false"},
+       {"peer", call.node},
+       {"placements", std::to_string(call.tried.size())},
+       {"held_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                      now_ - call.arrived)
+                                      .count())},
+       {"expected_us", std::to_string(call.expected.count())},
+       {"useful_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                        call.useful_until - now_)
+                                        .count())},
+       {"config", config_ ? std::to_string(config_->version) : "none"},
+       {"config_age_ms", ConfigAge()}});
   if (calls_.contains(call.id)) {
     CallId id = call.id;
     EndCall(call);
@@ -376,18 +381,18 @@
   // Work was done for onward calls already.
   if (call.forward->onward())
     return true;
-  uint32_t importance = call.forward->importance();
-  call_throttle_.Learn(call.service, importance,
-                       placement_.FailedCalls(call.service, importance), now_);
+  uint32_t rank = call.forward->rank();
+  call_throttle_.Learn(call.service, rank,
+                       placement_.FailedCalls(call.service, rank), now_);
   return call_throttle_.Admits(
-      call.service, importance,
+      call.service, rank,
       std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 void Node::CountOnwardEnd(const Call& call, bool failed, bool overloaded) {
   if (!call.forward->onward())
     return;
-  call_failures_.Count(call.forward->importance(), overloaded, now_);
+  call_failures_.Count(call.forward->rank(), overloaded, now_);
   if (failed)
     last_call_failure_ = now_;
   if (overloaded)
--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -38,6 +38,17 @@
 /// Ids of targets that have left which are remembered.
 constexpr size_t kGoneTargetsKept = 64;
 
+/// Shortens figures by rank, of which the last one counts for all further
+/// ranks, and none means 0.
+void DropRepeatedEnd(google::protobuf::RepeatedField<uint32_t>& values) {
+  while (values.size() > 1 &&
+         values[values.size() - 2] == values[values.size() - 1]) {
+    values.RemoveLast();
+  }
+  if (values.size() == 1 && values[0] == 0)
+    values.Clear();
+}
+
 }  // namespace
 
 std::string Node::FingerprintOfForward(const wire::Forward& forward) {
@@ -58,7 +69,7 @@
   offered.work = work.id;
   offered.organisation = work.forward->organisation();
   offered.route = work.forward->route();
-  offered.importance = work.forward->importance();
+  offered.rank = work.forward->rank();
   offered.onward = work.forward->onward();
   offered.useful_until = now_ + milliseconds(work.forward->useful_ms());
   offered.deadline = work.deadline;
@@ -89,7 +100,7 @@
             {{"request_id", work.forward->request_id()},
              {"organisation", work.forward->organisation()},
              {"reason", "overload"},
-             {"importance", std::to_string(work.forward->importance())},
+             {"rank", std::to_string(work.forward->rank())},
              {"in_flight", std::to_string(queue_.in_flight())},
              {"slots", std::to_string(queue_.slots())},
              {"queued", std::to_string(queue_.queued())},
@@ -365,21 +376,25 @@
   Apply(queue_.Clear());
 }
 
+void Node::AddWaits(bool onward, ByRank& waits) const {
+  for (uint32_t rank = 0; rank < kRanks; ++rank) {
+    waits.Add(
+        static_cast<uint32_t>(queue_.ExpectedWait(rank, onward, now_).count()));
+  }
+  DropRepeatedEnd(waits);
+}
+
 wire::Load Node::OwnLoad() const {
   wire::Load load;
   load.set_serving(TargetServes() && !refuses_work_);
   load.set_slots(queue_.slots());
   load.set_in_flight(queue_.in_flight());
   load.set_queued(queue_.queued());
-  for (uint32_t importance = 0; importance < kRanks; ++importance) {
-    auto wait = [this, importance](bool onward) {
-      return static_cast<uint32_t>(
-          queue_.ExpectedWait(importance, onward, now_).count());
-    };
-    load.add_call_wait_us(wait(true));
-    load.add_request_wait_us(wait(false));
-    load.add_failed_calls_permille(call_failures_.Permille(importance, now_));
-  }
+  AddWaits(true, *load.mutable_call_wait_us());
+  AddWaits(false, *load.mutable_request_wait_us());
+  for (uint32_t rank = 0; rank < kRanks; ++rank)
+    load.add_failed_calls_permille(call_failures_.Permille(rank, now_));
+  DropRepeatedEnd(*load.mutable_failed_calls_permille());
   load.set_service_time_us(
       static_cast<uint32_t>(queue_.mean_service_time().count()));
   load.set_failure_permille(
--- a/src/mesh/placement.cc
+++ b/src/mesh/placement.cc
@@ -144,7 +144,7 @@
     choice.service = typical;
   const auto& waits = request.onward ? target.load.call_wait_us()
                                      : target.load.request_wait_us();
-  int lane = std::min(static_cast<int>(request.importance), waits.size() - 1);
+  int lane = std::min(static_cast<int>(request.rank), waits.size() - 1);
   if (lane >= 0)
     choice.wait = microseconds(waits[lane]);
   // What was sent since the node told its load is not part of it.
@@ -158,8 +158,7 @@
   return choice;
 }
 
-double Placement::FailedCalls(std::string_view service,
-                              uint32_t importance) const {
+double Placement::FailedCalls(std::string_view service, uint32_t rank) const {
   auto nodes = by_service_.find(service);
   if (nodes == by_service_.end())
     return 0;
@@ -167,12 +166,14 @@
   int count = 0;
   for (const NodeId& node : nodes->second) {
     const wire::Load& load = targets_.at(node).load;
-    if (!Usable(targets_.at(node)) || load.failed_calls_permille().empty())
+    if (!Usable(targets_.at(node)))
       continue;
-    int lane = std::min(static_cast<int>(importance),
-                        load.failed_calls_permille_size() - 1);
-    sum += load.failed_calls_permille(lane);
     ++count;
+    if (load.failed_calls_permille().empty())
+      continue;
+    int lane =
+        std::min(static_cast<int>(rank), load.failed_calls_permille_size() - 1);
+    sum += load.failed_calls_permille(lane);
   }
   return count == 0 ? 0 : sum / count / kPermille;
 }
--- a/src/mesh/placement.h
+++ b/src/mesh/placement.h
@@ -51,7 +51,7 @@
   struct Request {
     std::string_view service;
     std::string_view route;
-    uint32_t importance = 0;
+    uint32_t rank = 0;
     bool onward = false;
     /// Time that an answer from another availability zone may take longer, so
     /// that traffic stays in the zone while that costs callers nothing.
@@ -64,8 +64,8 @@
                                std::span<const NodeId> tried);
 
   /// @return the part of the calls of a service's targets that failed of late,
-  ///     for requests of this importance; the mean over its nodes.
-  double FailedCalls(std::string_view service, uint32_t importance) const;
+  ///     for requests of this rank; the mean over its nodes.
+  double FailedCalls(std::string_view service, uint32_t rank) const;
 
   /// @return whether a target of the service serves that was not tried.
   bool HasOther(std::string_view service, std::span<const NodeId> tried) const;
--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -53,7 +53,7 @@
 }
 
 bool RetryAllowance::Take(std::string_view service,
-                          uint32_t importance,
+                          uint32_t rank,
                           size_t nodes,
                           TimePoint now) {
   Counts& counts = Roll(service, now);
@@ -62,7 +62,7 @@
   double repeats =
       std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0.0);
   double slack = bound_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
-  double part = kPartOf[importance % kRouteImportances];
+  double part = kPartOf[rank % kRouteImportances];
   if (repeats + 1 > kUsedPart * part * (bound_.ratio * requests + slack))
     return false;
   counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
--- a/src/mesh/retry_allowance.h
+++ b/src/mesh/retry_allowance.h
@@ -39,11 +39,11 @@
   void Charge(std::string_view service, TimePoint now);
 
   /// Takes one repeat.
-  /// @param importance of the request; 0 is the most important.
+  /// @param rank of the request; 0 is the most important.
   /// @param nodes number of nodes that share the slack.
   /// @return false if the window's repeats are used up.
   bool Take(std::string_view service,
-            uint32_t importance,
+            uint32_t rank,
             size_t nodes,
             TimePoint now);
 
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -56,7 +56,7 @@
     changes.start.push_back(work.work);
     return changes;
   }
-  microseconds wait = ExpectedWait(work.importance, work.onward, now);
+  microseconds wait = ExpectedWait(work.rank, work.onward, now);
   TimePoint useful = std::min(work.useful_until, work.deadline);
   double left =
       static_cast<double>((useful - now).count()) * UsableTime(work.onward);
@@ -69,7 +69,7 @@
   item.work = work.work;
   item.organisation = work.onward ? "" : work.organisation;
   item.route = work.route;
-  item.importance = ClampRank(work.importance);
+  item.importance = ClampRank(work.rank);
   // The latest start with which the answer has its full worth.
   item.deadline = useful - service;
   state.queue.Push(item, now);
@@ -188,7 +188,7 @@
   return kKinds;
 }
 
-microseconds TargetQueue::ExpectedWait(uint32_t importance,
+microseconds TargetQueue::ExpectedWait(uint32_t rank,
                                        bool onward,
                                        TimePoint now) const {
   Kind kind = onward ? kCall : kRequest;
@@ -196,7 +196,7 @@
     return microseconds(0);
   const KindState& state = kinds_[kind];
   uint32_t ahead = 1;
-  for (uint32_t lane = 0; lane <= ClampRank(importance); ++lane)
+  for (uint32_t lane = 0; lane <= ClampRank(rank); ++lane)
     ahead += state.waiting[lane];
   double mean = state.mean_us > 0 ? state.mean_us
                 : mean_us_ > 0    ? mean_us_
@@ -231,7 +231,7 @@
   auto found = waiting_.find(work);
   if (found == waiting_.end())
     return;
-  --kinds_[KindOf(found->second)].waiting[ClampRank(found->second.importance)];
+  --kinds_[KindOf(found->second)].waiting[ClampRank(found->second.rank)];
   waiting_.erase(found);
 }
 
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -32,7 +32,7 @@
   WorkId work;
   std::string organisation;
   std::string route;
-  uint32_t importance = 0;
+  uint32_t rank = 0;
   bool onward = false;     ///< A call that a running request makes.
   TimePoint useful_until;  ///< The answer has its full worth until then.
   TimePoint deadline;
@@ -73,7 +73,7 @@
   uint32_t queued() const { return static_cast<uint32_t>(waiting_.size()); }
 
   /// @return how long a further request of this kind would wait.
-  std::chrono::microseconds ExpectedWait(uint32_t importance,
+  std::chrono::microseconds ExpectedWait(uint32_t rank,
                                          bool onward,
                                          TimePoint now) const;
 
--- a/tests/mesh/node_test.cc
+++ b/tests/mesh/node_test.cc
@@ -512,7 +512,7 @@
   ASSERT_EQ(parent.size(), 1u);
   auto child = All<RunOnTarget>(Call("/inner/1", "", "root.1"));
   ASSERT_EQ(child.size(), 1u);
-  EXPECT_EQ(child[0].forward->importance(), parent[0].forward->importance());
+  EXPECT_EQ(child[0].forward->rank(), parent[0].forward->rank());
   EXPECT_TRUE(child[0].forward->onward());
 }
 
--- a/tests/mesh/target_queue_test.cc
+++ b/tests/mesh/target_queue_test.cc
@@ -11,12 +11,12 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-OfferedWork Work(uint64_t id, uint32_t importance, bool onward, TimePoint now) {
+OfferedWork Work(uint64_t id, uint32_t rank, bool onward, TimePoint now) {
   OfferedWork work;
   work.work = WorkId{id};
   work.organisation = onward ? "" : "org" + std::to_string(id % 2);
   work.route = onward ? "call" : "request";
-  work.importance = importance;
+  work.rank = rank;
   work.onward = onward;
   work.useful_until = now + (onward ? 700ms : 2500ms);
   work.deadline = now + 5s;
