--- a/src/mesh/node_works.cc
+++ b/src/mesh/node_works.cc
@@ -323,6 +323,7 @@
   bool was_serving = TargetServes();
   bool was_leaving = target_.leaving && !changed;
   if (changed) {
+    queue_.ForgetTarget();
     target_.failures = 0;
     target_.leaving = false;
   }
@@ -387,7 +388,7 @@
 wire::Load Node::OwnLoad() const {
   wire::Load load;
   load.set_serving(TargetServes() && !refuses_work_);
-  load.set_slots(queue_.slots());
+  load.set_slots(queue_.Limit(now_));
   load.set_in_flight(queue_.in_flight());
   load.set_queued(queue_.queued());
   AddWaits(true, *load.mutable_call_wait_us());
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -91,6 +91,8 @@
   if (learn) {
     microseconds took = now - found->second.since;
     service_time_.Record(found->second.route, took, now);
+    fullness_.Record(found->second.route, took, found->second.running, slots_,
+                     now);
     routes_[found->second.route] = now;
     auto sample = static_cast<double>(took.count());
     for (double* mean : {&mean_us_, &state.mean_us})
@@ -154,11 +156,12 @@
 }
 
 uint32_t TargetQueue::SlotsFor(Kind kind, TimePoint now) const {
-  double slots = slots_;
+  uint32_t limit = Limit(now);
+  double slots = limit;
   if (kind == kCall) {
     bool others = kinds_[kRequest].queue.size() > 0;
     return others ? std::max(1u, static_cast<uint32_t>(slots * kMostForCalls))
-                  : slots_;
+                  : limit;
   }
   constexpr double kMicrosecondsPerSecond = 1e6;
   const KindState& calls = kinds_[kCall];
@@ -170,7 +173,8 @@
 }
 
 bool TargetQueue::HasRoom(Kind kind, TimePoint now) const {
-  return running_.size() < slots_ && kinds_[kind].running < SlotsFor(kind, now);
+  return running_.size() < Limit(now) &&
+         kinds_[kind].running < SlotsFor(kind, now);
 }
 
 TargetQueue::Kind TargetQueue::NextKind(TimePoint now) const {
@@ -209,12 +213,13 @@
                         const std::string& route,
                         Kind kind,
                         TimePoint now) {
-  running_[work] = {route, kind, now};
   ++kinds_[kind].running;
+  auto running = static_cast<uint32_t>(running_.size() + 1);
+  running_[work] = {route, kind, now, running};
 }
 
 void TargetQueue::StartReady(Changes& changes, TimePoint now) {
-  while (running_.size() < slots_) {
+  while (running_.size() < Limit(now)) {
     Kind kind = NextKind(now);
     if (kind == kKinds)
       return;
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -12,6 +12,7 @@
 
 #include "comfreylock/fair_queue.h"
 #include "comfreylock/types.h"
+#include "mesh/fullness_limit.h"
 #include "mesh/rank.h"
 #include "service_time.h"
 
@@ -52,6 +53,10 @@
   /// Sets how many requests the target runs at a time.
   void SetSlots(uint32_t slots) { slots_ = slots; }
 
+  /// Forgets how the target's times depend on its load; another has replaced
+  /// it.
+  void ForgetTarget() { fullness_.Reset(); }
+
   /// Offers a request. @return decisions, possibly about other requests too.
   Changes Offer(const OfferedWork& work, TimePoint now);
 
@@ -69,6 +74,8 @@
   Changes Clear();
 
   uint32_t slots() const { return slots_; }
+  /// @return the slots that are worth using, at most `slots()`.
+  uint32_t Limit(TimePoint now) const { return fullness_.Limit(slots_, now); }
   uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
   uint32_t queued() const { return static_cast<uint32_t>(waiting_.size()); }
 
@@ -92,6 +99,7 @@
     std::string route;
     Kind kind = kRequest;
     TimePoint since;
+    uint32_t running = 0;  ///< When it began, itself included.
   };
 
   /// The requests of one kind.
@@ -122,6 +130,7 @@
   std::unordered_map<WorkId, OfferedWork> waiting_;
   std::unordered_map<WorkId, Running> running_;
   ServiceTime service_time_;
+  FullnessLimit fullness_;
   std::map<std::string, TimePoint> routes_;  ///< When each ran last.
   double mean_us_ = 0;
 };
--- a/tests/mesh/target_queue_test.cc
+++ b/tests/mesh/target_queue_test.cc
@@ -198,6 +198,44 @@
   EXPECT_GE(replay.calls, 0.2);
 }
 
+// A target that is slower by a third when nearly full: the last slots must not
+// be used while work waits. Guards against a loss of throughput at the very
+// time at which it is short.
+TEST(TargetQueueTest, LeavesSlotsUnusedThatSlowTheTargetDown) {
+  constexpr uint32_t kSlots = 40;
+  constexpr uint32_t kFast = 38;
+  TargetQueue queue;
+  queue.SetSlots(kSlots);
+  TimePoint now(100s);
+  std::multimap<TimePoint, uint64_t> ends;
+  uint64_t last = 0;
+  int served = 0;
+  auto start = [&](const TargetQueue::Changes& changes) {
+    for (WorkId work : changes.start) {
+      bool slow = ends.size() >= kFast;
+      ends.emplace(now + (slow ? 130ms : 100ms) + (work.value % 9) * 5ms,
+                   work.value);
+    }
+  };
+  // Calm at first, then more than the target can do.
+  for (auto [pause, time] : {std::pair(10ms, 3s), std::pair(1ms, 12s)}) {
+    TimePoint end = now + time;
+    served = 0;
+    for (; now < end; now += pause) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        uint64_t done = ends.begin()->second;
+        ends.erase(ends.begin());
+        ++served;
+        start(queue.Finish(WorkId{done}, true, now));
+      }
+      start(queue.Advance(now));
+      start(queue.Offer(Work(++last, 1, false, now), now));
+    }
+  }
+  // With all slots 40 / 150 ms, with 38 of them 38 / 120 ms: 317 a second.
+  EXPECT_GE(served / 12.0, 0.93 * 317);
+}
+
 TEST(TargetQueueTest, ClearRefusesAllThatWait) {
   TargetQueue queue;
   TimePoint now(1s);
