Count the requests of the window before for repeats

The bound counts the window, the one before, or the one half a window before, whichever has most.

Change: RetryAllowance keeps two windows and uses the greatest of the three.

--- a/src/mesh/retry_allowance.cc
+++ b/src/mesh/retry_allowance.cc
@@ -1,7 +1,6 @@
 #include "mesh/retry_allowance.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "mesh/rank.h"
 
@@ -12,8 +11,7 @@
 /// which are charged but not held back.
 constexpr double kUsedPart = 0.6;
 
-/// Part of the repeats that requests of routes of each importance may
-/// use.
+/// Part of the repeats that requests of routes of each importance may use.
 constexpr std::array<double, kRouteImportances> kPartOf = {1.0, 0.6, 0.35};
 
 }  // namespace
@@ -28,13 +26,13 @@
                 static_cast<int64_t>(kParts);
   int64_t part = now.time_since_epoch() / length;
   int64_t passed =
-      std::min<int64_t>(part - counts.part, static_cast<int64_t>(kParts));
+      std::min<int64_t>(part - counts.part, static_cast<int64_t>(kKeptParts));
   for (int64_t i = 1; i <= passed; ++i) {
-    auto index = static_cast<size_t>((counts.part + i) % kParts);
+    auto index = static_cast<size_t>((counts.part + i) % kKeptParts);
     counts.requests[index] = 0;
     counts.repeats[index] = 0;
   }
-  if (passed == static_cast<int64_t>(kParts)) {
+  if (passed == static_cast<int64_t>(kKeptParts)) {
     counts.requests.fill(0);
     counts.repeats.fill(0);
   }
@@ -42,14 +40,25 @@
   return counts;
 }
 
+double RetryAllowance::SumOver(const std::array<double, kKeptParts>& counts,
+                               int64_t newest,
+                               size_t ago) {
+  double sum = 0;
+  for (size_t i = 0; i < kParts; ++i) {
+    int64_t part = newest - static_cast<int64_t>(ago + i);
+    sum += counts[static_cast<size_t>(part + 2 * kKeptParts) % kKeptParts];
+  }
+  return sum;
+}
+
 void RetryAllowance::CountRequest(std::string_view service, TimePoint now) {
   Counts& counts = Roll(service, now);
-  counts.requests[static_cast<size_t>(counts.part % kParts)] += 1;
+  counts.requests[static_cast<size_t>(counts.part % kKeptParts)] += 1;
 }
 
 void RetryAllowance::Charge(std::string_view service, TimePoint now) {
   Counts& counts = Roll(service, now);
-  counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
+  counts.repeats[static_cast<size_t>(counts.part % kKeptParts)] += 1;
 }
 
 bool RetryAllowance::Take(std::string_view service,
@@ -57,15 +66,15 @@
                           size_t nodes,
                           TimePoint now) {
   Counts& counts = Roll(service, now);
-  double requests =
-      std::accumulate(counts.requests.begin(), counts.requests.end(), 0.0);
-  double repeats =
-      std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0.0);
+  double requests = 0;
+  for (size_t ago : {size_t{0}, kParts / 2, kParts})
+    requests = std::max(requests, SumOver(counts.requests, counts.part, ago));
+  double repeats = SumOver(counts.repeats, counts.part, 0);
   double slack = bound_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
   double part = kPartOf[rank % kRouteImportances];
   if (repeats + 1 > kUsedPart * part * (bound_.ratio * requests + slack))
     return false;
-  counts.repeats[static_cast<size_t>(counts.part % kParts)] += 1;
+  counts.repeats[static_cast<size_t>(counts.part % kKeptParts)] += 1;
   return true;
 }
 
--- a/src/mesh/retry_allowance.h
+++ b/src/mesh/retry_allowance.h
@@ -14,7 +14,9 @@
 ///
 /// Load pattern: a service fails or breaks connections, and repeats of its
 /// requests would multiply down the call graph. Repeats stay a fixed share of
-/// the requests of the window, plus a part of a fleet-wide slack.
+/// the requests of the window, plus a part of a fleet-wide slack. Requests
+/// whose calls fail early make fewer calls, so that the requests of the window
+/// before count where they were more.
 namespace comfreylock::mesh {
 
 /// Fleet-wide bound of repeats.
@@ -48,14 +50,21 @@
             TimePoint now);
 
  private:
-  /// Parts of the window; counts leave it part by part.
+  /// Parts of the window; counts leave it part by part. Those of the window
+  /// before are kept too.
   static constexpr size_t kParts = 10;
+  static constexpr size_t kKeptParts = 2 * kParts;
   struct Counts {
-    std::array<double, kParts> requests{};
-    std::array<double, kParts> repeats{};
+    std::array<double, kKeptParts> requests{};
+    std::array<double, kKeptParts> repeats{};
     int64_t part = 0;  ///< Number of the newest part since the clock's start.
   };
 
+  /// @return the sum over the window that ends `ago` parts before the newest.
+  static double SumOver(const std::array<double, kKeptParts>& counts,
+                        int64_t newest,
+                        size_t ago);
+
   Counts& Roll(std::string_view service, TimePoint now);
 
   RetryBound bound_;
--- a/tests/mesh/decisions_test.cc
+++ b/tests/mesh/decisions_test.cc
@@ -209,6 +209,25 @@
   }
 }
 
+// All targets of a service shed: its callers fail at their first call instead
+// of their fourth, and the repeats must not shrink with the calls.
+TEST(RetryAllowanceTest, FewerCallsDoNotTakeTheRepeatsAway) {
+  RetryAllowance allowance({.ratio = 0.2, .slack = 0, .window = 10s});
+  TimePoint now(100s);
+  int taken = 0;
+  for (int second = 0; second < 18; ++second) {
+    now += 1s;
+    bool shedding = second >= 10;
+    for (int i = 0; i < (shedding ? 100 : 400); ++i)
+      allowance.CountRequest("shop", now);
+    while (second >= 15 && allowance.Take("shop", 0, 1, now))
+      ++taken;
+  }
+  // The window before had 4,000 requests; three fifths of its bound are used.
+  EXPECT_GE(taken, 0.55 * 0.2 * 4000);
+  EXPECT_LE(taken, 0.2 * 4000);
+}
+
 TEST(RetryAllowanceTest, ImportantRequestsMayUseMore) {
   RetryAllowance allowance({.ratio = 0.2, .slack = 0, .window = 10s});
   TimePoint now(100s);
