--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -191,6 +191,12 @@
   std::chrono::milliseconds timeout{0};
 };
 
+/// Another node handed on a configuration: decodes it and feeds it back.
+struct DecodeConfig {
+  std::string text;
+  NodeId from;
+};
+
 struct WriteLine {
   LogCode code;
   std::vector<std::pair<std::string, std::string>> fields;
@@ -208,6 +214,7 @@
                             RunOnTarget,
                             AbortOnTarget,
                             AskStore,
+                            DecodeConfig,
                             WriteLine,
                             Stop>;
 
--- a/src/mesh/fleet_config.h
+++ b/src/mesh/fleet_config.h
@@ -52,6 +52,7 @@
 /// One version of the operators' configuration, checked.
 struct FleetConfig {
   uint64_t version = 0;
+  std::string text;  ///< As the store holds it, to hand on to other nodes.
   /// Routes of each host name, longest prefix first.
   std::map<std::string, std::vector<Route>, std::less<>> hosts;
   std::map<std::string, OrganisationLimits, std::less<>> organisations;
--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kLastWorkBeforeStop = 600ms;
 /// Before the end of the grace time, what is left for closing connections.
 constexpr milliseconds kStopMargin = 400ms;
+/// Time in which other nodes may hand on a newer configuration before the store
+/// is asked for it.
+constexpr milliseconds kConfigHandover = 250ms;
 /// Part of the time for withdrawn keys within which a node without news still
 /// calls itself ready.
 constexpr double kReadyPart = 0.8;
@@ -77,7 +80,8 @@
     status.failed_calls_permille[i] = call_failures_.Permille(i, now);
   status.stopping = stopping_;
   status.watches_config = WatchesConfig();
-  status.config_outdated = newest_version_ > status.config_version;
+  status.config_outdated = newest_version_ > status.config_version &&
+                           now - newer_since_ > kConfigHandover;
   auto limit = identity_.bounds.key_withdrawal * kReadyPart;
   status.ready =
       config_ && !stopping_ && reads_.done && now - config_confirmed_ < limit;
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -48,11 +48,19 @@
   std::string zone;
   std::string peer_address;    ///< IP:PORT of the listener for other nodes.
   std::string target_address;  ///< IP:PORT
-  uint64_t boot = 1;           ///< Greater at each start of this node.
+  /// IP:PORT at which other nodes reach the listener; empty: `peer_address`.
+  std::string advertised_address;
+  uint64_t boot = 1;  ///< Greater at each start of this node.
   uint64_t seed = 1;
   NodeBounds bounds;
 };
 
+/// @return where other nodes reach this one.
+inline const std::string& AddressForPeers(const NodeIdentity& identity) {
+  return identity.advertised_address.empty() ? identity.peer_address
+                                             : identity.advertised_address;
+}
+
 /// Figures for readiness and metrics.
 struct NodeStatus {
   uint64_t config_version = 0;
@@ -68,8 +76,9 @@
   std::array<uint32_t, kRanks> failed_calls_permille{};
   bool ready = false;
   bool stopping = false;
-  bool watches_config = false;   ///< Asks the store for all the others.
-  bool config_outdated = false;  ///< Another node has a newer one.
+  bool watches_config = false;  ///< Asks the store for all the others.
+  /// Another node has a newer one and has not handed it on in time.
+  bool config_outdated = false;
 };
 
 class Node {
@@ -131,6 +140,7 @@
   struct Link {
     LinkId id;
     NodeId node;
+    uint64_t boot = 0;  ///< Of the other process; 0 before its Hello.
     bool accepted = false;
     bool open = false;
     TimePoint last_load;      ///< When this node last told its load.
@@ -263,6 +273,11 @@
   void CloseLinkOf(LinkId id);
   size_t NodeCount() const { return members_.size() + 1; }
   void LearnLoad(Link& link, const wire::Load& load);
+  /// Asks a node that has a newer configuration for it.
+  void AskForConfig(const Link& link);
+  void OnConfigWanted(LinkId link, const wire::ConfigWanted& wanted);
+  /// Learns of a node that made a link before its record was read.
+  void LearnPeer(const wire::Hello& peer);
   /// @return whether this node is one of the few that ask the store all the
   /// time.
   bool WatchesConfig() const;
@@ -296,6 +311,7 @@
   bool config_was_fresh_ = false;
   uint64_t newest_version_ = 0;  ///< That any node told of.
   TimePoint newer_since_;        ///< When the first newer one was told of.
+  TimePoint next_config_ask_;    ///< Of another node.
   uint64_t told_version_ = 0;
   std::map<const Route*, std::vector<double>> split_credit_;
 
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -32,6 +32,8 @@
 constexpr uint32_t kLoadsForClock = 3;
 /// Taken off a confirmation that another node passes on.
 constexpr milliseconds kConfirmationMargin = 150ms;
+/// Pause between requests to other nodes for their configuration.
+constexpr milliseconds kConfigAskInterval = 200ms;
 /// Nodes for each holder of rates.
 constexpr size_t kNodesPerHolder = 16;
 
@@ -89,11 +91,13 @@
 void Node::On(const LinkOpened& event) {
   Link& link = links_[event.link];
   link.id = event.link;
+  link.boot = event.peer.boot();
   link.accepted = event.accepted;
   link.open = true;
   link.last_received = now_;
   if (event.accepted) {
     link.node = event.peer.node();
+    LearnPeer(event.peer);
     // The other node learns at once what this target can take.
     link.last_load = now_;
     auto frame = std::make_shared<wire::Frame>();
@@ -205,6 +209,14 @@
     case wire::Frame::kShares:
       OnShares(frame.shares());
       return;
+    case wire::Frame::kConfigWanted:
+      OnConfigWanted(event.link, frame.config_wanted());
+      return;
+    case wire::Frame::kConfigText:
+      if (!config_ || frame.config_text().version() > config_->version) {
+        effects_.push_back(DecodeConfig{frame.config_text().text(), link.node});
+      }
+      return;
     case wire::Frame::kQuarantined:
       if (quarantine_.Merge(frame.quarantined().entries(), now_))
         TellQuarantine(event.link);
@@ -214,6 +226,41 @@
   }
 }
 
+void Node::LearnPeer(const wire::Hello& peer) {
+  if (peer.address().empty() || peer.node() == identity_.node ||
+      members_.contains(peer.node())) {
+    return;
+  }
+  Member& member = members_[peer.node()];
+  *member.record.mutable_node() = peer;
+  member.record.set_address(peer.address());
+  placement_.SetNode(peer.node(), peer.service(), peer.zone());
+  LogLine(LogCode::kMemberChanged, {{"peer", peer.node()},
+                                    {"state", "linked"},
+                                    {"service", peer.service()},
+                                    {"zone", peer.zone()}});
+}
+
+void Node::AskForConfig(const Link& link) {
+  if (now_ < next_config_ask_)
+    return;
+  next_config_ask_ = now_ + kConfigAskInterval;
+  auto frame = std::make_shared<wire::Frame>();
+  frame->mutable_config_wanted()->set_version(config_ ? config_->version : 0);
+  Send(link.id, std::move(frame));
+}
+
+void Node::OnConfigWanted(LinkId link, const wire::ConfigWanted& wanted) {
+  if (!config_ || config_->version <= wanted.version() ||
+      config_->text.empty()) {
+    return;
+  }
+  auto frame = std::make_shared<wire::Frame>();
+  frame->mutable_config_text()->set_version(config_->version);
+  frame->mutable_config_text()->set_text(config_->text);
+  Send(link, std::move(frame));
+}
+
 void Node::LearnLoad(Link& link, const wire::Load& load) {
   auto member = members_.find(link.node);
   if (link.accepted || member == members_.end())
@@ -230,6 +277,8 @@
   newest_version_ = std::max(newest_version_, load.config_version());
   if (ConfigOutdated() && !was_outdated)
     newer_since_ = now_;
+  if (config_ && load.config_version() > config_->version)
+    AskForConfig(link);
   bool same = config_ && load.config_version() == config_->version;
   if (same && ++link.loads > kLoadsForClock) {
     TimePoint confirmed =
--- a/src/mesh/node_records.cc
+++ b/src/mesh/node_records.cc
@@ -94,7 +94,7 @@
   hello->set_service(identity_.service);
   hello->set_zone(identity_.zone);
   hello->set_boot(identity_.boot);
-  record.set_address(identity_.peer_address);
+  record.set_address(AddressForPeers(identity_));
   StoreTransaction transaction;
   transaction.puts.push_back(
       {RecordKey(identity_.node), record.SerializeAsString(), record_.lease});
@@ -251,7 +251,11 @@
   member.recorded = true;
   bool restarted = !added && member.record.node().boot() < record.node().boot();
   bool moved = !added && member.record.address() != record.address();
-  if (restarted || moved) {
+  // The link may lead to the new process already.
+  auto link = links_.find(member.link);
+  bool to_new = link != links_.end() && link->second.open &&
+                link->second.boot >= record.node().boot();
+  if (moved || (restarted && !to_new)) {
     if (member.link)
       CloseLinkOf(member.link);
     member.next_connect = now_;
--- a/src/mesh/shell.cc
+++ b/src/mesh/shell.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "comfreylock/config.h"
 #include "mesh/socket_options.h"
 #include "node_clock.h"
 
@@ -26,6 +27,7 @@
   hello.set_service(identity.service);
   hello.set_zone(identity.zone);
   hello.set_boot(identity.boot);
+  hello.set_address(AddressForPeers(identity));
   return hello;
 }
 
@@ -214,6 +216,18 @@
     store_->Start(effect.call, effect.request, effect.timeout);
 }
 
+void Shell::Apply(const DecodeConfig& effect) {
+  if (!config_decoder_)
+    return;
+  try {
+    // It is no proof that there is no newer one.
+    Feed(ConfigRead{config_decoder_(effect.text), TimePoint()});
+  } catch (const InputError& error) {
+    Log(LogCode::kConfigRejected,
+        {{"peer", effect.from}, {"error", error.what()}});
+  }
+}
+
 void Shell::Apply(const WriteLine& effect) {
   log_.Write(effect.code, effect.fields);
 }
--- a/src/mesh/shell.h
+++ b/src/mesh/shell.h
@@ -41,6 +41,15 @@
   /// Starts to listen. @throws std::exception if an address cannot be bound.
   void Listen();
 
+  using ConfigDecoder =
+      std::function<std::shared_ptr<const FleetConfig>(const std::string&)>;
+
+  /// @param decoder reads a configuration that another node hands on; throws
+  ///     `InputError` if it cannot.
+  void SetConfigDecoder(ConfigDecoder decoder) {
+    config_decoder_ = std::move(decoder);
+  }
+
   /// Hands an event to the reducer and carries out its effects.
   void Feed(EventBody event);
 
@@ -77,6 +86,7 @@
   void Apply(const RunOnTarget& effect);
   void Apply(const AbortOnTarget& effect);
   void Apply(const AskStore& effect);
+  void Apply(const DecodeConfig& effect);
   void Apply(const WriteLine& effect);
   void Apply(const Stop& effect);
 
@@ -86,6 +96,7 @@
   const CallerDialect& caller_dialect_;
   const TargetDialect& target_dialect_;
   StoreClient* store_ = nullptr;
+  ConfigDecoder config_decoder_;
   std::unique_ptr<Node> node_;
   HttpServer callers_;
   HttpClient target_;
--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kTick = 20ms;
 constexpr milliseconds kReportInterval = 300ms;
 constexpr uint32_t kSlots = 8;
+constexpr int kOk = 200;
 constexpr std::string_view kRequestId = "X-Comfreylock-Request-Id";
 
 std::string Unescape(std::string_view text) {
@@ -318,7 +319,12 @@
   mesh::HttpRequest request{"POST", "/v1/Instances.Deregister/" + id_};
   request.has_body = true;
   request.fields = {{"Host", "node"}};
-  reporter_.Send(request, {.timeout = 1s}, [](mesh::ExchangeResult) {});
+  reporter_.Send(
+      request, {.timeout = 1s}, [this, request](mesh::ExchangeResult result) {
+        bool heard = result.kind == mesh::ExchangeResult::Kind::kAnswered;
+        if (observer_ && heard && result.answer.status == kOk)
+          observer_("left", request);
+      });
 }
 
 void PlatformTargetStandin::ReportLater() {
@@ -350,6 +356,8 @@
   }
   ++runs_[id];
   last_fields_ = request.fields;
+  if (observer_)
+    observer_("ran", request);
   answer.fields.emplace_back(kRequestId, id);
   if (!behaviour_.without_receipt)
     answer.fields.emplace_back("X-Comfreylock-Server-Signature", "s." + id_);
--- a/standins/standin_platform.h
+++ b/standins/standin_platform.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYLOCK_STANDIN_PLATFORM_H_
 #define COMFREYLOCK_STANDIN_PLATFORM_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -112,6 +113,16 @@
 
   void SetBehaviour(TargetBehaviour behaviour) { behaviour_ = behaviour; }
 
+  using Observer = std::function<void(const std::string& event,
+                                      const mesh::HttpRequest& request)>;
+
+  /// @param observer is told of each request that runs ("ran") and of the
+  ///     node's answer to the leave ("left").
+  void SetObserver(Observer observer) { observer_ = std::move(observer); }
+
+  /// @param address that the reports tell, where it is not the listener's.
+  void ReportAddress(std::string address) { address_ = std::move(address); }
+
   /// Reports at once.
   void Report();
 
@@ -135,6 +146,7 @@
   uint64_t sequence_ = 0;
   uint64_t born_;
   TargetBehaviour behaviour_;
+  Observer observer_;
   std::map<std::string, int> runs_;
   mesh::Fields last_fields_;
   mesh::HttpServer server_;
--- a/tests/mesh/node_test.cc
+++ b/tests/mesh/node_test.cc
@@ -412,6 +412,32 @@
   EXPECT_EQ(node_->StatusAt(now_).members, 1u);
 }
 
+// Found by a score (gyfck-mesh, trouble-3, LOST): the record of a node that had
+// restarted came after the link to its new process was open; the link was
+// closed and cut the requests on it.
+TEST_F(NodeTest, ALateRecordKeepsTheLinkToTheNewProcess) {
+  Configure();
+  LinkId first = Join("there");
+  Feed(LinkClosed{first});
+  auto reopened = All<OpenLink>(Pass(1ms));
+  ASSERT_EQ(reopened.size(), 1u);
+  wire::Hello hello;
+  hello.set_node("there");
+  hello.set_boot(2);
+  Feed(LinkOpened{reopened[0].link, hello, false});
+  TellLoad(reopened[0].link);
+  auto placed = All<SendForward>(Call("/read/1"));
+  ASSERT_EQ(placed.size(), 1u);
+  StoreWatchResult late;
+  late.changes.push_back({Records({{"there", 2}}).front(), false});
+  Effects effects = Feed(StoreReplied{watch_, late});
+  EXPECT_TRUE(All<CloseLink>(effects).empty());
+  EXPECT_TRUE(All<RefuseCaller>(effects).empty());
+  // A process that the link is not to ends it.
+  late.changes.front() = {Records({{"there", 3}}).front(), false};
+  EXPECT_EQ(All<CloseLink>(Feed(StoreReplied{watch_, late})).size(), 1u);
+}
+
 TEST_F(NodeTest, ARestartedNodeUsesTheRecordedTarget) {
   Configure();
   Feed(TimePassed{});
@@ -456,16 +482,6 @@
   EXPECT_GE(node_->StatusAt(now_).config_age, 3900ms);
 }
 
-TEST_F(NodeTest, ANewerConfigElsewhereIsAskedFor) {
-  Configure();
-  LinkId link = Join("there");
-  EXPECT_FALSE(node_->StatusAt(now_).config_outdated);
-  auto frame = std::make_shared<wire::Frame>();
-  frame->mutable_load()->set_config_version(6);
-  Feed(FrameReceived{link, frame});
-  EXPECT_TRUE(node_->StatusAt(now_).config_outdated);
-}
-
 // Found by a hunt (ertis-etch, trouble-1, seed 766131314865, CONFIG): the store
 // turned a node away, and it refused a new key for good by an old version.
 TEST_F(NodeTest, AnOutdatedConfigRefusesNothingForGood) {
@@ -505,6 +521,65 @@
   EXPECT_NEAR(other, 20, 2);
 }
 
+// A node that the store turns away must not refuse requests for want of a
+// configuration that its peers have, and a change must not be read from the
+// store by every node.
+TEST_F(NodeTest, ANewerConfigurationIsTakenFromAnotherNode) {
+  Configure();
+  LinkId link = Join("peer");
+  auto frame = std::make_shared<wire::Frame>();
+  wire::Load* load = frame->mutable_load();
+  load->set_service("shop");
+  load->set_serving(true);
+  load->set_slots(4);
+  load->set_config_version(9);
+  Effects effects = Feed(FrameReceived{link, frame});
+  auto sent = All<SendFrame>(effects);
+  ASSERT_FALSE(sent.empty());
+  ASSERT_TRUE(sent.back().frame->has_config_wanted());
+  EXPECT_EQ(sent.back().frame->config_wanted().version(), 5u);
+  EXPECT_FALSE(node_->StatusAt(now_).config_outdated);
+  auto answer = std::make_shared<wire::Frame>();
+  answer->mutable_config_text()->set_version(9);
+  answer->mutable_config_text()->set_text("nine");
+  auto decode = All<DecodeConfig>(Feed(FrameReceived{link, answer}));
+  ASSERT_EQ(decode.size(), 1u);
+  EXPECT_EQ(decode[0].text, "nine");
+  // Without an answer, the store is asked.
+  EXPECT_TRUE(node_->StatusAt(now_ + 400ms).config_outdated);
+  Feed(ConfigRead{Config(9), TimePoint()});
+  EXPECT_FALSE(node_->StatusAt(now_ + 400ms).config_outdated);
+  EXPECT_EQ(node_->config()->version, 9u);
+  // An older one that comes late is not decoded.
+  answer = std::make_shared<wire::Frame>();
+  answer->mutable_config_text()->set_version(7);
+  EXPECT_TRUE(All<DecodeConfig>(Feed(FrameReceived{link, answer})).empty());
+}
+
+TEST_F(NodeTest, HandsItsConfigurationOn) {
+  auto config = Config(5);
+  config->text = "five";
+  Feed(ConfigRead{config, now_});
+  wire::Hello peer;
+  peer.set_node("other");
+  peer.set_service("shop");
+  peer.set_address("other:1");
+  LinkId link{(uint64_t{1} << 63) | 1};
+  // A node that makes a link is known before its record is read.
+  Feed(LinkOpened{link, peer, true});
+  auto opened = All<OpenLink>(Pass(100ms));
+  ASSERT_EQ(opened.size(), 1u);
+  EXPECT_EQ(opened[0].address, "other:1");
+  auto wanted = std::make_shared<wire::Frame>();
+  wanted->mutable_config_wanted()->set_version(4);
+  auto sent = All<SendFrame>(Feed(FrameReceived{link, wanted}));
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].frame->config_text().text(), "five");
+  wanted = std::make_shared<wire::Frame>();
+  wanted->mutable_config_wanted()->set_version(5);
+  EXPECT_TRUE(All<SendFrame>(Feed(FrameReceived{link, wanted})).empty());
+}
+
 TEST_F(NodeTest, CallsTakeTheImportanceOfTheirRequest) {
   Configure();
   Feed(TargetReported{Report("i1", 1, 1)});
