A stopping node takes work while its callers go on

Change: taking work ends 400 ms before the expected end, which each accepted request of a caller puts off, and 2.7 s after the signal at the latest; refused callers no longer put the end off. A Hello ends the pause before a node is connected to.

AStoppingNodeTakesWorkWhileItsCallersGoOn fails without the change.

--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -18,7 +18,10 @@
 /// It then exits once no caller has sent anything for this time.
 constexpr milliseconds kQuietBeforeStop = 700ms;
 /// A little before, it takes no more work of others, so that what runs can end.
-constexpr milliseconds kLastWorkBeforeStop = 600ms;
+constexpr milliseconds kLastWorkBeforeStop = 400ms;
+/// Time after the start of a graceful stop for which callers' requests and work
+/// are still taken; later ones might not end before the process must.
+constexpr milliseconds kTakeWhileStopping = 2700ms;
 /// Before the end of the grace time, what is left for closing connections.
 constexpr milliseconds kStopMargin = 400ms;
 /// Time in which other nodes may hand on a newer configuration before the store
@@ -114,8 +117,9 @@
   last_pass_ = now_;
   if (!stopping_ || stopped_)
     return;
-  if (now_ >= ExpectedStop() - kLastWorkBeforeStop)
-    refuses_work_ = true;
+  // A caller's request puts the end off, and with it that of taking work.
+  refuses_work_ = now_ >= ExpectedStop() - kLastWorkBeforeStop ||
+                  now_ - stop_since_ > kTakeWhileStopping;
   bool quiet = calls_.empty() && works_.empty() && now_ >= ExpectedStop();
   if (quiet || now_ - stop_since_ >= identity_.bounds.grace - kStopMargin) {
     stopped_ = true;
@@ -124,6 +128,10 @@
   }
 }
 
+bool Node::TakesCallers() const {
+  return !stopping_ || now_ - stop_since_ <= kTakeWhileStopping;
+}
+
 TimePoint Node::ExpectedStop() const {
   return std::max(stop_since_ + kLeastStopTime, last_call_ + kQuietBeforeStop);
 }
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -195,6 +195,8 @@
   void On(const TimePassed& event);
   void On(const ShutdownRequested& event);
 
+  /// @return whether requests of callers are taken; not late in a stop.
+  bool TakesCallers() const;
   /// @return when a stopping node exits if no caller sends anything more.
   TimePoint ExpectedStop() const;
 
--- a/src/mesh/node_calls.cc
+++ b/src/mesh/node_calls.cc
@@ -34,9 +34,6 @@
 constexpr milliseconds kThrottledHint = 500ms;
 /// Time before the deadline at which the answer must be on its way.
 constexpr milliseconds kAnswerMargin = 5ms;
-/// Time after the start of a graceful stop for which callers' requests are
-/// still taken; later ones might not end before the process must.
-constexpr milliseconds kTakeWhileStopping = 2700ms;
 /// Part of the time left that an answer from another availability zone may take
 /// longer; smaller for calls, of which a request makes several in a row.
 constexpr double kZoneTolerance = 0.1;
@@ -57,12 +54,12 @@
   }
   // The target's own calls go on as long as it works for others.
   bool onward = call.forward->onward();
-  if (!onward)
-    last_call_ = now_;
-  if (stopping_ && !onward && now_ - stop_since_ > kTakeWhileStopping) {
+  if (!onward && !TakesCallers()) {
     Refuse(call, Reason::kDraining, kShortestHint);
     return;
   }
+  if (!onward)
+    last_call_ = now_;
   if (IsQuarantined(*call.forward)) {
     Refuse(call, Reason::kQuarantined, milliseconds(0));
     return;
--- a/src/mesh/node_fleet.cc
+++ b/src/mesh/node_fleet.cc
@@ -227,8 +227,13 @@
 }
 
 void Node::LearnPeer(const wire::Hello& peer) {
-  if (peer.address().empty() || peer.node() == identity_.node ||
-      members_.contains(peer.node())) {
+  if (peer.address().empty() || peer.node() == identity_.node)
+    return;
+  auto known = members_.find(peer.node());
+  if (known != members_.end()) {
+    // It runs, so a link to it need not wait any longer.
+    known->second.next_connect = now_;
+    known->second.backoff = milliseconds(0);
     return;
   }
   Member& member = members_[peer.node()];
--- a/tests/mesh/node_test.cc
+++ b/tests/mesh/node_test.cc
@@ -601,6 +601,38 @@
   EXPECT_EQ(All<Stop>(Pass(600ms)).size(), 1u);
 }
 
+// Found on ertis-etch, trouble-2: the two targets that were left of a service
+// stopped one after the other; the first refused all work 1.5 s after its
+// signal, and went on for its callers for 2.4 s more.
+TEST_F(NodeTest, AStoppingNodeTakesWorkWhileItsCallersGoOn) {
+  Configure();
+  Feed(TargetReported{Report("i1", 1, 1)});
+  Feed(ShutdownRequested{});
+  auto served = [this] {
+    auto runs = All<RunOnTarget>(Call("/read/1"));
+    for (const RunOnTarget& run : runs) {
+      TargetResult result;
+      result.kind = TargetResult::Kind::kAnswered;
+      result.success = true;
+      result.status = 200;
+      Feed(TargetAnswered{run.work, result});
+    }
+    return runs.size() == 1;
+  };
+  // Callers of a busy node come every few milliseconds.
+  for (milliseconds since = 100ms; since <= 2700ms; since += 100ms) {
+    EXPECT_TRUE(All<Stop>(Pass(100ms)).empty());
+    EXPECT_TRUE(served()) << since.count();
+  }
+  // Callers that are refused do not hold the node up.
+  milliseconds stopped_after(2700);
+  while (All<Stop>(Pass(100ms)).empty() && stopped_after < 6000ms) {
+    stopped_after += 100ms;
+    EXPECT_FALSE(served());
+  }
+  EXPECT_LE(stopped_after, 3500ms);
+}
+
 // The target still works for others, whose requests would fail with its calls.
 TEST_F(NodeTest, AStoppingNodeServesTheCallsOfItsTarget) {
   Configure();
