--- a/src/mesh/node.cc
+++ b/src/mesh/node.cc
@@ -37,7 +37,6 @@
     : identity_(std::move(identity)),
       random_(identity_.seed),
       now_(now),
-      started_(now),
       config_confirmed_(now),
       placement_(identity_.zone, identity_.seed + 1),
       retries_(identity_.bounds.retry),
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -31,8 +31,6 @@
   RetryBound retry;
   /// A withdrawn key must not be served longer than this.
   std::chrono::milliseconds key_withdrawal{5000};
-  /// No work may reach a leaving target later than this after it said so.
-  std::chrono::milliseconds drain{2000};
   /// A stopping process is killed after this time.
   std::chrono::milliseconds grace{6000};
   /// Interval of the target's reports.
@@ -168,7 +166,6 @@
     TargetReport report;
     TimePoint reported;
     bool leaving = false;
-    TimePoint left;  ///< When it said that it leaves.
     TimePoint down_until;
     double failures = 0;  ///< Smoothed share.
     TimePoint last_answer;
@@ -304,7 +301,6 @@
   NodeIdentity identity_;
   std::mt19937_64 random_;
   TimePoint now_;
-  TimePoint started_;
   Effects effects_;
   uint64_t last_id_ = 0;
 
