Refuse a waiting request when its usable time in the queue is over

Cause: TargetQueue admitted an onward call if its expected wait was within 0.3 of its time, but then let it wait until its deadline less the service time. Change: the latest start is the offer plus the usable fraction of the time, less the service time, for both kinds of requests.

--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -61,10 +61,10 @@
   }
   microseconds wait = ExpectedWait(work.rank, work.onward, now);
   TimePoint useful_until = std::min(work.useful_until, work.deadline);
-  double usable_us = static_cast<double>((useful_until - now).count()) *
-                     UsableTimeFraction(work.onward);
-  bool too_late = static_cast<double>((wait + service).count()) > usable_us;
-  if (wait.count() > 0 && too_late) {
+  microseconds usable(static_cast<int64_t>(
+      static_cast<double>((useful_until - now).count()) *
+      UsableTimeFraction(work.onward)));
+  if (wait.count() > 0 && wait + service > usable) {
     changes.refuse.push_back(work.work);
     return changes;
   }
@@ -73,8 +73,10 @@
   item.organisation = work.onward ? "" : work.organisation;
   item.route = work.route;
   item.importance = ClampRank(work.rank);
-  // The latest start at which the answer still has its full value.
-  item.deadline = useful_until - service;
+  // More important requests may overtake it, so that it waits longer than
+  // expected. It is refused while its entry node can still place it elsewhere
+  // or tell the caller that it has not run.
+  item.deadline = now + usable - service;
   state.queue.Push(item, now);
   ++state.waiting[item.importance];
   waiting_[work.work] = work;
--- a/tests/mesh/target_queue_test.cc
+++ b/tests/mesh/target_queue_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 #include <gtest/gtest.h>
 
@@ -94,6 +95,38 @@
   EXPECT_EQ(changes.refuse.front(), WorkId{2});
 }
 
+// During a surge important onward calls keep overtaking less important ones.
+// Guards against calls that wait until their deadline, whose requests then fail
+// instead of being refused.
+TEST(TargetQueueTest, RefusesOvertakenOnwardCallLongBeforeDeadline) {
+  TargetQueue queue;
+  TimePoint now(1s);
+  queue.SetSlots(1);
+  RunToMeasureServiceTime(queue, true, 20ms, now);
+  auto offer = [&](uint64_t id, uint32_t rank) {
+    OfferedWork work = Work(id, rank, true, now);
+    work.deadline = work.useful_until;
+    return queue.Offer(work, now);
+  };
+  ASSERT_EQ(offer(1, 0).start.size(), 1u);
+  ASSERT_TRUE(offer(2, 5).refuse.empty());
+  uint64_t running = 1;
+  TimePoint offered_at = now;
+  std::optional<TimePoint> refused_at;
+  for (uint64_t id = 3; now - offered_at < 700ms && !refused_at; ++id) {
+    offer(id, 0);
+    now += 20ms;
+    auto changes = queue.Finish(WorkId{running}, true, now);
+    ASSERT_EQ(changes.start.size(), 1u);
+    running = changes.start.front().value;
+    if (std::ranges::count(queue.Advance(now).refuse, WorkId{2}) == 1)
+      refused_at = now;
+  }
+  ASSERT_TRUE(refused_at);
+  // 0.3 of the 700 ms, the fraction that one onward call may use.
+  EXPECT_LE(*refused_at - offered_at, 210ms);
+}
+
 TEST(TargetQueueTest, StartsMostImportantFirst) {
   TargetQueue queue;
   TimePoint now(1s);
