--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -40,6 +40,7 @@
     : identity_(std::move(identity)),
       random_(identity_.seed),
       now_(now),
+      started_at_(now),
       config_confirmed_at_(now),
       target_selector_(identity_.zone, identity_.seed + 1),
       retry_budget_(identity_.bounds.retry),
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -349,6 +349,7 @@
   NodeIdentity identity_;
   std::mt19937_64 random_;
   TimePoint now_;
+  TimePoint started_at_;
   Effects effects_;
   uint64_t last_id_ = 0;
 
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -235,7 +235,12 @@
     return;
   auto known = members_.find(peer.node());
   if (known != members_.end()) {
-    // The node is running, so it is connected to without further delay.
+    // The node is running, so it is connected to without further delay. Its
+    // record may still be that of an earlier incarnation at another address.
+    if (known->second.record.node().boot() < peer.boot()) {
+      *known->second.record.mutable_node() = peer;
+      known->second.record.set_address(peer.address());
+    }
     known->second.next_connect_at = now_;
     known->second.backoff = milliseconds(0);
     return;
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -17,6 +17,12 @@
 /// Delay before a failed call to the store is repeated.
 constexpr milliseconds kStoreRetryDelay = 400ms;
 constexpr milliseconds kStoreTimeout = 1500ms;
+/// Time after its start for which a node reads the records of other nodes only
+/// once its own is written.
+constexpr milliseconds kOwnRecordWait = 1000ms;
+/// Minimum time between two reads of all records. While the store keeps
+/// discarding its history, each watch ends at once and requires another read.
+constexpr milliseconds kMinMemberReadInterval = 2000ms;
 /// Number of records read in one call.
 constexpr int64_t kRecordsPerPage = 400;
 
@@ -112,6 +118,8 @@
     // The lease has expired or an answer was lost. A new lease resolves both.
     if (!record_.written)
       record_.lease = 0;
+    else
+      RefreshMembers();
   });
 }
 
@@ -174,6 +182,13 @@
   if (member_reads_.reading || member_reads_.watch ||
       now_ < member_reads_.next_read_at)
     return;
+  // Of two nodes that start at the same time, the one that writes its record
+  // later reads the record of the other and opens a link to it. Neither depends
+  // on the watch for that.
+  if (!member_reads_.done && !record_.written &&
+      now_ - started_at_ < kOwnRecordWait)
+    return;
+  member_reads_.next_read_at = now_ + kMinMemberReadInterval;
   member_reads_.last_key.clear();
   member_reads_.keys_read.clear();
   ReadMembers();
@@ -228,11 +243,10 @@
       [this](const StoreResult& result) {
         const auto* changes = std::get_if<StoreWatchResult>(&result);
         if (!changes || changes->compacted_revision != 0) {
-          // The watch failed or its revision was compacted: reads all records
-          // again.
+          // The watch failed or its revision was compacted: all records are
+          // read again.
           store_calls_.erase(member_reads_.watch);
           member_reads_.watch = StoreRequestId();
-          member_reads_.next_read_at = now_;
           return;
         }
         for (const StoreChange& change : changes->changes) {
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -422,6 +422,65 @@
   EXPECT_EQ(node_->StatusAt(now_).members, 1u);
 }
 
+// All nodes start at once. Guards against two nodes that each read the records
+// before the other has written its own, and then depend on their watches.
+TEST_F(MeshReducerTest, ReadsMembersAfterWritingOwnRecord) {
+  auto reads_members = [this] {
+    return std::ranges::any_of(store_calls_, [](const CallStore& store_call) {
+      const auto* range = std::get_if<StoreRange>(&store_call.request);
+      return range && !range->range_end.empty();
+    });
+  };
+  Feed(Tick{});
+  EXPECT_FALSE(reads_members());
+  // The store does not answer: the records are read without the own one.
+  Advance(900ms);
+  EXPECT_FALSE(reads_members());
+  Advance(200ms);
+  EXPECT_TRUE(reads_members());
+  store_calls_.clear();
+  node_ = std::make_unique<MeshReducer>(identity_, now_);
+  ConnectNode("there");
+  EXPECT_EQ(node_->StatusAt(now_).members, 1u);
+}
+
+// Guards against reads of all records by all nodes in a loop while the store
+// keeps discarding its history.
+TEST_F(MeshReducerTest, LostHistoryCausesFewReads) {
+  ConnectNode("there");
+  int reads = 0;
+  for (int i = 0; i < 100; ++i) {
+    StoreWatchResult lost;
+    lost.compacted_revision = 1;
+    Feed(StoreReplied{watch_, lost});
+    Advance(100ms);
+    reads += static_cast<int>(
+        std::ranges::count_if(store_calls_, [](const CallStore& store_call) {
+          return std::holds_alternative<StoreRange>(store_call.request);
+        }));
+    AnswerStore({{"there", 1}});
+  }
+  // 10 s, and a read of all records at most every 2 s.
+  EXPECT_GE(reads, 4);
+  EXPECT_LE(reads, 6);
+}
+
+// A node is replaced at another address and opens a link before its new record
+// is seen.
+TEST_F(MeshReducerTest, HelloReplacesAddressOfEarlierIncarnation) {
+  LinkId link = ConnectNode("there");
+  Feed(LinkClosed{link});
+  wire::Hello hello;
+  hello.set_node("there");
+  hello.set_boot(2);
+  hello.set_address("elsewhere:1");
+  opened_links_.clear();
+  Feed(LinkOpened{LinkId{uint64_t{1} << 63}, hello, true});
+  CollectOpenLinks(Advance(0ms));
+  ASSERT_EQ(opened_links_.size(), 1u);
+  EXPECT_EQ(opened_links_.front().address, "elsewhere:1");
+}
+
 // Guards against lost requests (scenario gyfck-mesh, trouble-3, check LOST):
 // the record of a restarted node arrived after the link to the new incarnation
 // was open, and the link was closed with the requests on it.
