Bound what a peer can send, and send repeated requests on a new connection

Cause: looked for among the faults that operators of similar systems met. (1) HttpClient and HttpServer kept any number of bytes of a chunk header or trailer, HttpClient read interim answers and answers to other requests without end, and answers of up to 64 MB on each connection, in a process that has 160 MB. (2) A request that a target had shed was sent to it again under the same id; a late second copy of the answer "not run" on the same connection was taken for the answer to the second attempt, so that an order that ran was repeated or reported as not run. Change: 128 kB of unparsed bytes at the client, 64 kB beyond the largest header at the server, 16 discarded answers in an exchange, 16 MB an answer, 32 MB for all answers of a client, the largest given up first; a repeated request uses a new connection.

--- a/src/mesh/http_client.cc
+++ b/src/mesh/http_client.cc
@@ -1,5 +1,6 @@
 #include "mesh/http_client.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -23,8 +24,17 @@
 
 /// Bytes read from the server at a time.
 constexpr size_t kReadBytes = 32 * 1024;
-constexpr uint64_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+/// Limit of the answers that all connections of a client are receiving. Beyond
+/// it the largest of them is given up.
+constexpr size_t kMaxBufferedBytes = 32 * 1024 * 1024 - kReadBytes;
+/// Received bytes that the parser may leave in the buffer because a line, such
+/// as a chunk header, is not complete.
+constexpr size_t kMaxUnparsedBytes = 128 * 1024;
+/// Interim answers and answers to other requests that are discarded in one
+/// exchange.
+constexpr int kMaxDiscardedAnswers = 16;
 /// Time since its last use within which a connection counts as recently used.
 constexpr std::chrono::milliseconds kRecentUseWindow = 1500ms;
 /// Time before the server's Keep-Alive timeout at which an idle connection is
@@ -90,6 +100,8 @@
                      Options options,
                      Callback done) {
     exchange_ = exchange;
+    received_bytes_ = 0;
+    discarded_answers_ = 0;
     options_ = std::move(options);
     done_ = std::move(done);
     output_ = std::move(bytes);
@@ -118,10 +130,16 @@
     socket_.close(ignored);
     timer_.cancel();
     done_ = nullptr;
+    ReleaseBufferedBytes();
     client_.Remove(this);
   }
 
+  /// Gives up the exchange, whose answer has become too large.
+  void AbandonAnswer() { Fail(ExchangeResult::Kind::kBroken, false); }
+
   ExchangeId exchange() const { return exchange_; }
+  /// @return bytes received of the answer in progress.
+  size_t received_bytes() const { return received_bytes_; }
 
  private:
   using Parser = http::response_parser<http::string_body>;
@@ -134,6 +152,10 @@
     parser_->skip(options_.head_request);
   }
 
+  void ReleaseBufferedBytes() {
+    client_.buffered_bytes_ -= std::exchange(received_bytes_, 0);
+  }
+
   /// Starts the timeout of the exchange, or of the idle connection. The same
   /// timer also limits the time to connect.
   void SetTimer() {
@@ -176,6 +198,13 @@
             OnReadError(error);
             return;
           }
+          if (exchange_) {
+            received_bytes_ += bytes;
+            client_.buffered_bytes_ += bytes;
+            client_.LimitBufferedBytes();
+            if (closed_)
+              return;
+          }
           Parse();
           if (!closed_)
             Read();
@@ -192,8 +221,11 @@
       error_code error;
       size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
-      if (error == http::error::need_more)
+      if (error == http::error::need_more) {
+        if (buffer_.size() > kMaxUnparsedBytes)
+          Fail(ExchangeResult::Kind::kBroken, false);
         return;
+      }
       if (error) {
         Fail(ExchangeResult::Kind::kBroken, false);
         return;
@@ -233,11 +265,18 @@
     for (const auto& field : message)
       answer.fields.emplace_back(field.name_string(), field.value());
     answer.body = std::move(message.body());
-    if (answer.status < kMinFinalStatus) {
+    bool interim = answer.status < kMinFinalStatus;
+    bool matches = interim || !options_.matches_request ||
+                   options_.matches_request(answer);
+    if ((interim || !matches) && ++discarded_answers_ > kMaxDiscardedAnswers) {
+      Fail(ExchangeResult::Kind::kBroken, false);
+      return;
+    }
+    if (interim) {
       StartParser();
       return;
     }
-    if (options_.matches_request && !options_.matches_request(answer)) {
+    if (!matches) {
       // The answer belongs to an earlier request.
       mismatched_answer_seen_ = true;
       if (connection_ended)
@@ -256,6 +295,7 @@
     Callback done = std::exchange(done_, nullptr);
     client_.exchanges_.erase(exchange_);
     exchange_ = 0;
+    ReleaseBufferedBytes();
     // If the answer came before the request was written completely, the rest of
     // the request would precede the next one, so the connection is closed.
     if (!reusable || mismatched_answer_seen_ || !written_ ||
@@ -293,6 +333,8 @@
   std::string output_;
   std::chrono::milliseconds idle_timeout_;
   Clock::time_point idle_since_;
+  size_t received_bytes_ = 0;  ///< Of the answer in progress.
+  int discarded_answers_ = 0;  ///< In the exchange in progress.
   bool connected_ = false;
   bool written_ = false;
   bool mismatched_answer_seen_ = false;
@@ -318,7 +360,8 @@
   std::shared_ptr<Connection> connection;
   // The connection used last is reused first, so that the others reach their
   // idle timeout.
-  while (!idle_connections_.empty() && !connection) {
+  while (!idle_connections_.empty() && !connection &&
+         !options.require_new_connection) {
     Connection* candidate = idle_connections_.back();
     if (!candidate->IsUsable(options.require_recent_use)) {
       // All others have been idle for longer.
@@ -345,6 +388,16 @@
   connection->Close();
 }
 
+void HttpClient::LimitBufferedBytes() {
+  while (buffered_bytes_ > kMaxBufferedBytes) {
+    auto largest = std::ranges::max_element(
+        connections_, {},
+        [](const auto& item) { return item.second->received_bytes(); });
+    std::shared_ptr<Connection> connection = largest->second;
+    connection->AbandonAnswer();
+  }
+}
+
 void HttpClient::Remove(Connection* connection) {
   exchanges_.erase(connection->exchange());
   std::erase(idle_connections_, connection);
--- a/src/mesh/http_client.h
+++ b/src/mesh/http_client.h
@@ -42,6 +42,9 @@
     /// Uses only a new connection or one that was used recently: the server may
     /// be closing an idle one, and then it is unknown whether the request ran.
     bool require_recent_use = false;
+    /// Uses a new connection. For a request that was sent before: on the
+    /// earlier connection a second copy of the earlier answer may still arrive.
+    bool require_new_connection = false;
     /// @return whether an answer belongs to this request; other answers are
     /// discarded.
     std::function<bool(const HttpAnswer&)> matches_request;
@@ -68,9 +71,15 @@
 
   size_t connections() const { return connections_.size(); }
 
+  /// @return bytes received of the answers in progress.
+  size_t buffered_bytes() const { return buffered_bytes_; }
+
  private:
   class Connection;
 
+  /// Gives up the largest answers in progress until the others are within the
+  /// limit.
+  void LimitBufferedBytes();
   void Remove(Connection* connection);
 
   asio::io_context& context_;
@@ -80,6 +89,7 @@
   std::vector<Connection*> idle_connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;
   ExchangeId last_exchange_ = 0;
+  size_t buffered_bytes_ = 0;
 };
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -20,6 +20,9 @@
 
 /// Bytes read from a client at a time.
 constexpr size_t kReadBytes = 16 * 1024;
+/// Received bytes that the parser may leave in the buffer, beyond the largest
+/// header, because a line, such as a chunk header, is not complete.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 /// Pipelined requests in progress on one connection; further ones are not read
 /// until one of these is answered.
 constexpr size_t kMaxPipelinedRequests = 16;
@@ -215,8 +218,13 @@
       return false;
     }
     if (!parser_->is_done()) {
+      CallerLimits limits = server_.handlers_.limits();
+      if (buffer_.size() > limits.max_header_bytes + kMaxUnparsedBytes) {
+        RefuseAndClose(kBadRequest);
+        return false;
+      }
       if (header_done_)
-        SetTimeout(server_.handlers_.limits().idle_timeout);
+        SetTimeout(limits.idle_timeout);
       return false;
     }
     DeliverRequest();
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -190,6 +190,7 @@
   HttpClient::Options options;
   options.head_request = effect.forward->method() == "HEAD";
   options.require_recent_use = !effect.forward->idempotent();
+  options.require_new_connection = effect.forward->repeat();
   auto forward = effect.forward;
   options.matches_request = [this, forward](const HttpAnswer& answer) {
     return target_protocol_.IsAnswerTo(answer, *forward);
