Avoid targets whose nodes are silent after a request

Change: a target whose node has not been heard from for 0.5 s since a request was sent to it is chosen only if there is no other; its next load report ends that. The test fails without the rule by its construction; it was not run on the code before.

--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -222,7 +222,7 @@
   request.zone_tolerance = std::chrono::duration_cast<microseconds>(
       (call.useful_until - now_) *
       (onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
-  auto choice = target_selector_.Choose(request, call.tried_nodes);
+  auto choice = target_selector_.Choose(request, call.tried_nodes, now_);
   if (!choice || ++call.placement_count > kMaxPlacements) {
     bool has_target = target_selector_.HasServingTarget(call.service);
     Refuse(call, has_target ? Reason::kOverload : Reason::kNoTarget,
@@ -253,7 +253,7 @@
   call.forward->set_useful_ms(ms_until(call.useful_until));
   call.node = choice.node;
   call.stream = ++last_id_;
-  target_selector_.OnRequestSent(choice.node);
+  target_selector_.OnRequestSent(choice.node, now_);
   if (choice.node == identity_.node) {
     call.link = LinkId();
     AcceptWork(Work{WorkId{call.stream}, LinkId(), call.stream, call.id,
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -284,7 +284,7 @@
     target_selector_.SetNode(link.node, load.service(),
                              member->second.record.node().zone());
   }
-  target_selector_.Update(link.node, load, now_);
+  target_selector_.Update(link.node, load);
   // The age of the peer's confirmation is the age that it reports plus the
   // transit delay. The first messages on a link may all have been delayed, so
   // they do not count as confirmations.
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -435,7 +435,7 @@
   wire::Load load = LocalLoad();
   if (!load.service().empty())
     target_selector_.SetNode(identity_.node, load.service(), identity_.zone);
-  target_selector_.Update(identity_.node, load, now_);
+  target_selector_.Update(identity_.node, load);
   bool changed =
       std::exchange(advertised_serving_, load.serving()) != load.serving();
   changed |= std::exchange(advertised_config_version_, load.config_version()) !=
--- a/src/mesh/target_selector.cc
+++ b/src/mesh/target_selector.cc
@@ -19,6 +19,11 @@
 constexpr double kFailureWeight = 4.0;
 /// Cost factor of a target that is still warming up.
 constexpr double kWarmupCostFactor = 1.5;
+/// Time after a request was sent within which its node must be heard from. A
+/// node with requests sends its load every 200 ms, up to 100 ms late.
+constexpr std::chrono::milliseconds kMaxSilence{500};
+/// Cost added to a silent target, above the expected time of any other.
+constexpr double kSilentTargetCostUs = 60e6;
 constexpr double kPermille = 1000;
 /// Largest random fraction added to the cost, so that nodes with the same load
 /// reports do not all choose the same target.
@@ -52,9 +57,7 @@
   targets_.erase(found);
 }
 
-void TargetSelector::Update(const NodeId& node,
-                            const wire::Load& load,
-                            TimePoint now) {
+void TargetSelector::Update(const NodeId& node, const wire::Load& load) {
   auto found = targets_.find(node);
   if (found == targets_.end())
     return;
@@ -62,7 +65,6 @@
   target.load = load;
   target.reachable = true;
   target.sent_since_load = 0;
-  target.load_received_at = now;
 }
 
 void TargetSelector::SetUnreachable(const NodeId& node) {
@@ -71,12 +73,18 @@
     found->second.reachable = false;
 }
 
-void TargetSelector::OnRequestSent(const NodeId& node) {
+void TargetSelector::OnRequestSent(const NodeId& node, TimePoint now) {
   auto found = targets_.find(node);
   if (found == targets_.end())
     return;
-  ++found->second.outstanding;
-  ++found->second.sent_since_load;
+  Target& target = found->second;
+  ++target.outstanding;
+  if (++target.sent_since_load == 1)
+    target.first_sent_at = now;
+}
+
+bool TargetSelector::IsSilent(const Target& target, TimePoint now) {
+  return target.sent_since_load > 0 && now - target.first_sent_at > kMaxSilence;
 }
 
 void TargetSelector::OnRequestEnded(const NodeId& node) {
@@ -96,7 +104,8 @@
 
 std::optional<TargetSelector::Choice> TargetSelector::Choose(
     const Request& request,
-    std::span<const NodeId> tried) {
+    std::span<const NodeId> tried,
+    TimePoint now) {
   auto nodes = by_service_.find(request.service);
   if (nodes == by_service_.end())
     return std::nullopt;
@@ -118,6 +127,8 @@
       continue;
     Choice choice = Estimate(node, target, request, typical);
     double cost = Cost(choice, target, request);
+    if (IsSilent(target, now))
+      cost += kSilentTargetCostUs;
     if (!best || cost < best_cost) {
       best = choice;
       best_cost = cost;
--- a/src/mesh/target_selector.h
+++ b/src/mesh/target_selector.h
@@ -19,6 +19,10 @@
 /// the target with the lowest cost, mainly the expected time to an answer, from
 /// the load that each node reports of its target and from what this node has
 /// sent since. No target is excluded permanently.
+///
+/// Load pattern: the network between two nodes fails without closing their
+/// link. A target whose node has not been heard from since a request was sent
+/// to it is chosen only if there is no other.
 namespace comfreylock::mesh {
 
 class TargetSelector {
@@ -40,13 +44,13 @@
   void RemoveNode(const NodeId& node);
 
   /// Stores the load that a node reported of its target.
-  void Update(const NodeId& node, const wire::Load& load, TimePoint now);
+  void Update(const NodeId& node, const wire::Load& load);
 
   /// Marks a node as unreachable until its next load report.
   void SetUnreachable(const NodeId& node);
 
   /// Counts a request that was sent to `node`, or that ended there.
-  void OnRequestSent(const NodeId& node);
+  void OnRequestSent(const NodeId& node, TimePoint now);
   void OnRequestEnded(const NodeId& node);
 
   /// Properties of a request that the selection depends on.
@@ -64,7 +68,8 @@
   /// @param tried nodes to leave out.
   /// @return the target with the lowest cost, or nothing if none serves.
   std::optional<Choice> Choose(const Request& request,
-                               std::span<const NodeId> tried);
+                               std::span<const NodeId> tried,
+                               TimePoint now);
 
   /// @return the fraction of recent onward calls by a service's targets that
   ///     failed because of overload, for requests of this rank; the mean over
@@ -88,12 +93,15 @@
     bool reachable = false;
     uint32_t outstanding = 0;      ///< Sent by this node and not ended.
     uint32_t sent_since_load = 0;  ///< Sent by this node, not yet in `load`.
-    TimePoint load_received_at;
+    /// When the first of the requests in `sent_since_load` was sent.
+    TimePoint first_sent_at;
   };
 
   static bool IsUsable(const Target& target) {
     return target.reachable && target.load.serving() && target.load.slots() > 0;
   }
+  /// @return whether the node of the target should have been heard from.
+  static bool IsSilent(const Target& target, TimePoint now);
   /// @param typical service time of targets that report none for the route.
   Choice Estimate(const NodeId& node,
                   const Target& target,
--- a/tests/mesh/decisions_test.cc
+++ b/tests/mesh/decisions_test.cc
@@ -42,8 +42,8 @@
                                          microseconds tolerance = 0us) {
     std::map<NodeId, int> placed;
     for (int i = 0; i < count; ++i) {
-      auto choice =
-          target_selector_.Choose({"shop", "read", 1, false, tolerance}, {});
+      auto choice = target_selector_.Choose(
+          {"shop", "read", 1, false, tolerance}, {}, now_);
       if (choice)
         ++placed[choice->node];
     }
@@ -55,20 +55,20 @@
 };
 
 TEST_F(TargetSelectorTest, ChoosesNoTargetBeforeFirstLoadReport) {
-  EXPECT_FALSE(target_selector_.Choose({"shop", "read"}, {}));
+  EXPECT_FALSE(target_selector_.Choose({"shop", "read"}, {}, now_));
   EXPECT_FALSE(target_selector_.HasServingTarget("shop"));
 }
 
 TEST_F(TargetSelectorTest, PrefersFastTarget) {
-  target_selector_.Update("a", LoadOf(50, 0, 300ms), now_);
-  target_selector_.Update("b", LoadOf(50, 0, 100ms), now_);
-  target_selector_.Update("c", LoadOf(50, 0, 300ms), now_);
+  target_selector_.Update("a", LoadOf(50, 0, 300ms));
+  target_selector_.Update("b", LoadOf(50, 0, 100ms));
+  target_selector_.Update("c", LoadOf(50, 0, 300ms));
   EXPECT_EQ(ChooseRepeatedly(20)["b"], 20);
 }
 
 TEST_F(TargetSelectorTest, UsesSlowTargetBeforeFastOneIsFull) {
-  target_selector_.Update("a", LoadOf(50, 0, 160ms), now_);
-  target_selector_.Update("b", LoadOf(50, 46, 100ms), now_);
+  target_selector_.Update("a", LoadOf(50, 0, 160ms));
+  target_selector_.Update("b", LoadOf(50, 46, 100ms));
   EXPECT_GE(ChooseRepeatedly(20)["a"], 15);
 }
 
@@ -79,14 +79,14 @@
   long_requests.set_service_time_us(900'000);
   wire::Load short_requests = LoadOf(50, 0, 150ms);
   short_requests.set_service_time_us(60'000);
-  target_selector_.Update("a", long_requests, now_);
-  target_selector_.Update("b", short_requests, now_);
+  target_selector_.Update("a", long_requests);
+  target_selector_.Update("b", short_requests);
   EXPECT_EQ(ChooseRepeatedly(20)["a"], 20);
 }
 
 TEST_F(TargetSelectorTest, StaysInZoneWithinTolerance) {
-  target_selector_.Update("a", LoadOf(50, 5, 150ms), now_);
-  target_selector_.Update("b", LoadOf(50, 0, 100ms), now_);
+  target_selector_.Update("a", LoadOf(50, 5, 150ms));
+  target_selector_.Update("b", LoadOf(50, 0, 100ms));
   EXPECT_EQ(ChooseRepeatedly(20, 150ms)["a"], 20);
   EXPECT_EQ(ChooseRepeatedly(20, 1ms)["b"], 20);
 }
@@ -94,17 +94,36 @@
 TEST_F(TargetSelectorTest, AvoidsTargetWithFailures) {
   wire::Load failing = LoadOf(50, 0, 100ms);
   failing.set_failure_permille(500);
-  target_selector_.Update("a", failing, now_);
-  target_selector_.Update("b", LoadOf(50, 0, 150ms), now_);
+  target_selector_.Update("a", failing);
+  target_selector_.Update("b", LoadOf(50, 0, 150ms));
   EXPECT_EQ(ChooseRepeatedly(20)["b"], 20);
 }
 
+// The network to a node fails without closing the link. Guards against requests
+// that are sent there until the link times out, and then fail without having
+// reached a target.
+TEST_F(TargetSelectorTest, AvoidsTargetThatIsSilentAfterRequest) {
+  target_selector_.Update("a", LoadOf(50, 0, 100ms));
+  target_selector_.Update("b", LoadOf(50, 0, 400ms));
+  target_selector_.OnRequestSent("a", now_);
+  now_ += 400ms;
+  EXPECT_EQ(ChooseRepeatedly(20)["a"], 20);
+  now_ += 200ms;
+  EXPECT_EQ(ChooseRepeatedly(20)["b"], 20);
+  target_selector_.Update("a", LoadOf(50, 0, 100ms));
+  EXPECT_EQ(ChooseRepeatedly(20)["a"], 20);
+  target_selector_.OnRequestSent("a", now_);
+  target_selector_.OnRequestSent("b", now_);
+  now_ += 600ms;
+  EXPECT_TRUE(target_selector_.Choose({"shop", "read"}, {}, now_));
+}
+
 // A slowdown of the whole service must not exclude all its targets.
 TEST_F(TargetSelectorTest, ChoosesTargetEvenIfAllFail) {
   for (const char* node : {"a", "b", "c"}) {
     wire::Load failing = LoadOf(50, 0, 2000ms);
     failing.set_failure_permille(900);
-    target_selector_.Update(node, failing, now_);
+    target_selector_.Update(node, failing);
   }
   auto placed = ChooseRepeatedly(300);
   EXPECT_EQ(placed["a"] + placed["b"] + placed["c"], 300);
@@ -112,12 +131,12 @@
 
 TEST_F(TargetSelectorTest, CountsRequestsSentSinceLoadReport) {
   for (const char* node : {"a", "b", "c"})
-    target_selector_.Update(node, LoadOf(10, 0, 100ms), now_);
+    target_selector_.Update(node, LoadOf(10, 0, 100ms));
   std::map<NodeId, int> placed;
   for (int i = 0; i < 30; ++i) {
-    auto choice = target_selector_.Choose({"shop", "read"}, {});
+    auto choice = target_selector_.Choose({"shop", "read"}, {}, now_);
     ASSERT_TRUE(choice);
-    target_selector_.OnRequestSent(choice->node);
+    target_selector_.OnRequestSent(choice->node, now_);
     ++placed[choice->node];
   }
   for (const auto& [node, count] : placed)
@@ -126,10 +145,10 @@
 
 TEST_F(TargetSelectorTest, SkipsUnreachableAndTriedNodes) {
   for (const char* node : {"a", "b", "c"})
-    target_selector_.Update(node, LoadOf(10, 0, 100ms), now_);
+    target_selector_.Update(node, LoadOf(10, 0, 100ms));
   target_selector_.SetUnreachable("a");
   std::vector<NodeId> tried = {"b"};
-  auto choice = target_selector_.Choose({"shop", "read"}, tried);
+  auto choice = target_selector_.Choose({"shop", "read"}, tried, now_);
   ASSERT_TRUE(choice);
   EXPECT_EQ(choice->node, "c");
   EXPECT_TRUE(target_selector_.HasUntriedTarget("shop", tried));
