--- a/src/http_entry_server.cc
+++ b/src/http_entry_server.cc
@@ -136,7 +136,7 @@
   explicit Connection(asio::ip::tcp::socket socket)
       : stream(std::move(socket)) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxInputBufferBytes};
 };
 
 struct HttpEntryServer::Attempt {
--- a/src/http_io.cc
+++ b/src/http_io.cc
@@ -19,6 +19,8 @@
 using boost::system::system_error;
 
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+/// Interim answers (1xx) to one request.
+constexpr int kMaxInterimAnswers = 16;
 /// Time for which a request's last write may still complete after the answer
 /// has arrived.
 constexpr std::chrono::milliseconds kWriteCompletionTimeout = 50ms;
@@ -270,7 +272,9 @@
 asio::awaitable<ResponseHead> HttpClientConnection::ReceiveHead(
     bool bodiless,
     bool stop_at_100) {
-  while (true) {
+  for (int interim = 0;; ++interim) {
+    if (interim > kMaxInterimAnswers)
+      throw system_error(http::make_error_code(http::error::bad_status));
     parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
     parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(boost::none);
--- a/src/http_io.h
+++ b/src/http_io.h
@@ -24,6 +24,10 @@
 /// connections, and header rules shared by all listeners.
 namespace comfreylock {
 
+/// Received bytes of one connection that may wait to be parsed. A peer that
+/// exceeds them, for instance with an endless chunk header, is disconnected.
+inline constexpr size_t kMaxInputBufferBytes = 256 * 1024;
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -210,7 +214,7 @@
 
   std::string address_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxInputBufferBytes};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
   std::unique_ptr<BodyReader> body_;
   bool request_written_ = false;
--- a/src/http_peer_server.cc
+++ b/src/http_peer_server.cc
@@ -61,7 +61,7 @@
   explicit Connection(asio::ip::tcp::socket socket)
       : stream(std::move(socket)) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxInputBufferBytes};
 };
 
 struct HttpPeerServer::PendingWork {
--- a/tests/io/http_test.cc
+++ b/tests/io/http_test.cc
@@ -422,6 +422,30 @@
   EXPECT_TRUE(Contains(answer, "not-run"));
 }
 
+// Guards against memory that grows with a chunk header without end, of which no
+// byte counts as body.
+TEST_F(HttpTest, EndlessChunkHeaderIsRefused) {
+  Start([](TestConnection& connection) { connection.ReadUntil("\r\n\r\n"); });
+  std::string head =
+      "PUT /a HTTP/1.1\r\nHost: x\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n5;x=";
+  std::string answer =
+      SendAndReadAll(head + std::string(2 * kMaxInputBufferBytes, 'a'));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 4")) << answer;
+}
+
+// Guards against a target that goes on answering 100 until the deadline.
+TEST_F(HttpTest, EndlessInterimAnswersBreakAttempt) {
+  Start([](TestConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    for (int i = 0; i < 100; ++i)
+      connection.Send("HTTP/1.1 103 Early Hints\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  std::string answer = SendAndReadAll(kGet);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 5")) << answer;
+}
+
 // Guards against a target that treats an upload as complete although its caller
 // disconnected during the upload.
 TEST_F(HttpTest, UploadOfDisconnectedCallerIsAborted) {
