Learn of members from links and from few cheap reads

A node that joins opens links to all members that it reads, and its Hello has all that its record has. Change: no watch. The records are read at the start and after the own record was written (linearizable), when a member has had no link for 3 s and every 30 s (reads that may be some seconds old, at a tenth of the price; at most one in 5 s). A Hello and a record are applied by one function; the older of the two changes nothing. A member is removed when its record is missing and no link to it is open: at most 9 s of its lease, 3 s without a link and 5 s between reads after its host was lost.

--- a/include/comfreylock/store.h
+++ b/include/comfreylock/store.h
@@ -28,6 +28,8 @@
   std::string key;
   std::string range_end;  ///< Empty: just `key`.
   int64_t limit = 0;      ///< 0: no limit.
+  /// The result may be some seconds old, which costs the store less.
+  bool serializable = false;
 };
 
 /// Condition: the key was last modified at this revision; 0: it is absent.
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -168,6 +168,7 @@
     wire::NodeRecord record;
     bool has_record = false;  ///< Its record is in the store.
     LinkId link;              ///< Outgoing link; 0 if there is none.
+    TimePoint linked_at;      ///< When the link was last open, or it joined.
     TimePoint next_connect_at;
     std::chrono::milliseconds backoff{0};
   };
@@ -295,11 +296,15 @@
   void ReadTargetRecord();
   void RefreshMembers();
   void ReadMembers();
-  void WatchMembers();
+  /// @return whether a member has had no open link for some seconds.
+  bool HasUnreachableMember() const;
   void UpdateMember(const StoreEntry& entry);
-  /// Handles the removal of a node's record from the store. The node stays a
+  /// Applies a record, or what a Hello says of a node, to a member. Closes the
+  /// link to an earlier incarnation.
+  void ApplyNodeRecord(const NodeId& node, const wire::NodeRecord& record);
+  /// Handles a read of all records without that of a member. The node stays a
   /// member while a link to it is open.
-  void OnRecordRemoved(const std::string& key);
+  void OnRecordMissing(const NodeId& node);
   void RemoveMember(const NodeId& node);
 
   // Other nodes (mesh_reducer_fleet.cc).
@@ -405,13 +410,14 @@
     TimePoint next_request_at;
     TimePoint renewed_at;
   } record_;
-  /// Reading and watching the records of all nodes.
+  /// Reading the records of all nodes.
   struct MemberReads {
     bool reading = false;
-    bool done = false;  ///< All records were read at least once.
-    StoreRequestId watch;
+    bool done = false;              ///< All records were read at least once.
+    bool after_own_record = false;  ///< The own record was written since.
+    bool serializable = false;      ///< Kind of the read in progress.
     TimePoint next_read_at;
-    int64_t revision = 0;
+    TimePoint done_at;
     std::string last_key;  ///< Last key of the previous page.
     std::set<std::string> keys_read;
   } member_reads_;
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -136,6 +136,7 @@
     state.next_connect_at = now_ + state.backoff;
     target_selector_.SetUnreachable(link.node);
     if (link.open) {
+      state.linked_at = now_;
       state.next_connect_at = now_;
       LogLine(LogCode::kLinkLost,
               {{"peer", link.node},
@@ -233,22 +234,17 @@
 void MeshReducer::AddPeer(const wire::Hello& peer) {
   if (peer.address().empty() || peer.node() == identity_.node)
     return;
-  auto known = members_.find(peer.node());
-  if (known != members_.end()) {
-    // The node is running, so it is connected to without further delay. Its
-    // record may still be that of an earlier incarnation at another address.
-    if (known->second.record.node().boot() < peer.boot()) {
-      *known->second.record.mutable_node() = peer;
-      known->second.record.set_address(peer.address());
-    }
-    known->second.next_connect_at = now_;
-    known->second.backoff = milliseconds(0);
+  wire::NodeRecord record;
+  *record.mutable_node() = peer;
+  record.set_address(peer.address());
+  auto [found, added] = members_.try_emplace(peer.node());
+  found->second.linked_at = now_;
+  // The node is running, so it is connected to without further delay.
+  found->second.next_connect_at = now_;
+  found->second.backoff = milliseconds(0);
+  ApplyNodeRecord(peer.node(), record);
+  if (!added)
     return;
-  }
-  Member& member = members_[peer.node()];
-  *member.record.mutable_node() = peer;
-  member.record.set_address(peer.address());
-  target_selector_.SetNode(peer.node(), peer.service(), peer.zone());
   LogLine(LogCode::kMemberChanged, {{"peer", peer.node()},
                                     {"state", "linked"},
                                     {"service", peer.service()},
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -20,9 +20,13 @@
 /// Time after its start for which a node reads the records of other nodes only
 /// once its own is written.
 constexpr milliseconds kOwnRecordWait = 1000ms;
-/// Minimum time between two reads of all records. While the store keeps
-/// discarding its history, each watch ends at once and requires another read.
-constexpr milliseconds kMinMemberReadInterval = 2000ms;
+/// Minimum time between two reads of all records, and the time after which they
+/// are read without a cause. Nodes that join open links to all members that
+/// they read, so the reads serve to notice members that are gone.
+constexpr milliseconds kMinMemberReadInterval = 5000ms;
+constexpr milliseconds kMemberReadInterval = 30'000ms;
+/// Time without a link to a member after which the records are read.
+constexpr milliseconds kUnreachableMemberDelay = 3000ms;
 /// Number of records read in one call.
 constexpr int64_t kRecordsPerPage = 400;
 
@@ -53,10 +57,8 @@
     LogLine(failed ? LogCode::kStoreFailed : LogCode::kStoreRecovered,
             {{"reason", failed ? failure->message : "answered"}});
   }
-  StoreHandler handler = found->second;
-  bool watch = event.call == member_reads_.watch;
-  if (!watch || failed)
-    store_calls_.erase(found);
+  StoreHandler handler = std::move(found->second);
+  store_calls_.erase(found);
   handler(event.result);
 }
 
@@ -116,10 +118,13 @@
     record_.next_request_at =
         now_ + (record_.written ? kRenewInterval : kStoreRetryDelay);
     // The lease has expired or an answer was lost. A new lease resolves both.
-    if (!record_.written)
+    if (!record_.written) {
       record_.lease = 0;
-    else
-      RefreshMembers();
+      return;
+    }
+    member_reads_.after_own_record = true;
+    member_reads_.next_read_at = std::min(member_reads_.next_read_at, now_);
+    RefreshMembers();
   });
 }
 
@@ -179,38 +184,54 @@
 }
 
 void MeshReducer::RefreshMembers() {
-  if (member_reads_.reading || member_reads_.watch ||
-      now_ < member_reads_.next_read_at)
+  if (member_reads_.reading || now_ < member_reads_.next_read_at)
     return;
   // Of two nodes that start at the same time, the one that writes its record
-  // later reads the record of the other and opens a link to it. Neither depends
-  // on the watch for that.
+  // later reads the record of the other and opens a link to it, so that both
+  // know each other.
   if (!member_reads_.done && !record_.written &&
       now_ - started_at_ < kOwnRecordWait)
     return;
+  bool due = !member_reads_.done || member_reads_.after_own_record ||
+             now_ >= member_reads_.done_at + kMemberReadInterval ||
+             HasUnreachableMember();
+  if (!due)
+    return;
+  // A first read, or one after the own record was written, must not be older
+  // than that record.
+  member_reads_.serializable =
+      member_reads_.done && !member_reads_.after_own_record;
+  member_reads_.after_own_record = false;
   member_reads_.next_read_at = now_ + kMinMemberReadInterval;
   member_reads_.last_key.clear();
   member_reads_.keys_read.clear();
   ReadMembers();
 }
 
+bool MeshReducer::HasUnreachableMember() const {
+  return std::ranges::any_of(members_, [this](const auto& item) {
+    const Member& member = item.second;
+    auto link = links_.find(member.link);
+    bool open = link != links_.end() && link->second.open;
+    return !open && now_ - member.linked_at > kUnreachableMemberDelay;
+  });
+}
+
 void MeshReducer::ReadMembers() {
   member_reads_.reading = true;
   std::string prefix(kNodesPrefix);
   std::string from =
       member_reads_.last_key.empty() ? prefix : member_reads_.last_key + '\0';
-  SendStoreRequest(StoreRange{from, PrefixEnd(prefix), kRecordsPerPage},
+  SendStoreRequest(StoreRange{from, PrefixEnd(prefix), kRecordsPerPage,
+                              member_reads_.serializable},
                    [this](const StoreResult& result) {
                      member_reads_.reading = false;
                      const auto* range = std::get_if<StoreRangeResult>(&result);
                      if (!range) {
-                       member_reads_.next_read_at = now_ + kStoreRetryDelay;
+                       if (!member_reads_.done)
+                         member_reads_.next_read_at = now_ + kStoreRetryDelay;
                        return;
                      }
-                     // The pages are not read from one snapshot, so the watch
-                     // begins at the revision of the first page.
-                     if (member_reads_.last_key.empty())
-                       member_reads_.revision = range->revision;
                      for (const StoreEntry& entry : range->entries) {
                        member_reads_.keys_read.insert(entry.key);
                        UpdateMember(entry);
@@ -220,45 +241,18 @@
                        ReadMembers();
                        return;
                      }
-                     std::vector<std::string> missing_keys;
+                     std::vector<NodeId> missing;
                      for (const auto& [node, member] : members_) {
-                       if (member.has_record &&
-                           !member_reads_.keys_read.contains(RecordKey(node)))
-                         missing_keys.push_back(RecordKey(node));
+                       if (!member_reads_.keys_read.contains(RecordKey(node)))
+                         missing.push_back(node);
                      }
-                     for (const std::string& key : missing_keys)
-                       OnRecordRemoved(key);
-                     if (record_.written && !member_reads_.keys_read.contains(
-                                                RecordKey(identity_.node)))
-                       OnRecordRemoved(RecordKey(identity_.node));
+                     for (const NodeId& node : missing)
+                       OnRecordMissing(node);
                      member_reads_.done = true;
-                     WatchMembers();
+                     member_reads_.done_at = now_;
                    });
 }
 
-void MeshReducer::WatchMembers() {
-  std::string prefix(kNodesPrefix);
-  SendStoreRequest(
-      StoreWatch{prefix, PrefixEnd(prefix), member_reads_.revision + 1},
-      [this](const StoreResult& result) {
-        const auto* changes = std::get_if<StoreWatchResult>(&result);
-        if (!changes || changes->compacted_revision != 0) {
-          // The watch failed or its revision was compacted: all records are
-          // read again.
-          store_calls_.erase(member_reads_.watch);
-          member_reads_.watch = StoreRequestId();
-          return;
-        }
-        for (const StoreChange& change : changes->changes) {
-          if (change.deleted)
-            OnRecordRemoved(change.entry.key);
-          else
-            UpdateMember(change.entry);
-        }
-      });
-  member_reads_.watch = StoreRequestId{last_id_};
-}
-
 void MeshReducer::UpdateMember(const StoreEntry& entry) {
   wire::NodeRecord record;
   std::string_view key = entry.key;
@@ -273,50 +267,51 @@
   if (node == identity_.node)
     return;
   auto [found, added] = members_.try_emplace(node);
-  Member& member = found->second;
-  // Set before the link is closed, because closing the link of a member without
-  // a record removes the member.
-  member.has_record = true;
-  bool restarted = !added && member.record.node().boot() < record.node().boot();
-  bool address_changed = !added && member.record.address() != record.address();
-  // The link may already lead to the new incarnation.
-  auto link = links_.find(member.link);
-  bool link_is_current = link != links_.end() && link->second.open &&
-                         link->second.incarnation >= record.node().boot();
-  if (address_changed || (restarted && !link_is_current)) {
-    if (member.link)
-      CloseLinkOf(member.link);
-    member.next_connect_at = now_;
-    member.backoff = milliseconds(0);
-  }
-  member.record = record;
-  target_selector_.SetNode(node, record.node().service(), record.node().zone());
+  found->second.has_record = true;
   if (added) {
+    found->second.linked_at = now_;
     LogLine(LogCode::kMemberChanged, {{"peer", node},
                                       {"state", "joined"},
                                       {"service", record.node().service()},
                                       {"zone", record.node().zone()}});
   }
+  ApplyNodeRecord(node, record);
   ConnectMembers();
 }
 
-void MeshReducer::OnRecordRemoved(const std::string& key) {
-  NodeId node = key.substr(std::min(key.size(), kNodesPrefix.size()));
-  if (node == identity_.node) {
-    if (!stopping_) {
-      record_.lease = 0;
-      record_.written = false;
-      record_.next_request_at = now_;
-    }
+void MeshReducer::ApplyNodeRecord(const NodeId& node,
+                                  const wire::NodeRecord& record) {
+  Member& member = members_.at(node);
+  // A read may be older than a Hello of the node.
+  if (record.node().boot() < member.record.node().boot())
     return;
-  }
-  auto found = members_.find(node);
-  if (found == members_.end())
+  bool known = !member.record.address().empty();
+  bool restarted = known && member.record.node().boot() < record.node().boot();
+  bool address_changed = known && member.record.address() != record.address();
+  member.record = record;
+  target_selector_.SetNode(node, record.node().service(), record.node().zone());
+  // The link may already lead to the new incarnation.
+  auto link = links_.find(member.link);
+  bool link_is_current = link != links_.end() && link->second.open &&
+                         link->second.incarnation >= record.node().boot();
+  if (!address_changed && (!restarted || link_is_current))
     return;
-  found->second.has_record = false;
-  auto link = links_.find(found->second.link);
-  // The lease may have expired while the store was unreachable, so a node with
-  // an open link stays a member.
+  member.next_connect_at = now_;
+  member.backoff = milliseconds(0);
+  // Taken from the member first, because closing the link of a member without a
+  // record removes the member.
+  if (LinkId old_link = std::exchange(member.link, LinkId())) {
+    target_selector_.SetUnreachable(node);
+    CloseLinkOf(old_link);
+  }
+}
+
+void MeshReducer::OnRecordMissing(const NodeId& node) {
+  Member& member = members_.at(node);
+  member.has_record = false;
+  // The lease may have expired while the store was unreachable, and the record
+  // may be newer than the read, so a node with an open link stays a member.
+  auto link = links_.find(member.link);
   if (link == links_.end() || !link->second.open)
     RemoveMember(node);
 }
--- a/src/store_etcd.cc
+++ b/src/store_etcd.cc
@@ -76,6 +76,8 @@
     body["range_end"] = ToBase64(range.range_end);
   if (range.limit > 0)
     body["limit"] = std::to_string(range.limit);
+  if (range.serializable)
+    body["serializable"] = true;
   return body;
 }
 
