Give duties only to members that can be reached

Cause: without a watch a node that stops stays a member for some seconds. Change: both choices skip members without an open link.

--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -323,7 +323,8 @@
   /// Adds a node that opened a link before its record was read.
   void AddPeer(const wire::Hello& peer);
   /// @return whether this node is one of the few that poll the store for the
-  ///     configuration.
+  ///     configuration: those of the highest scores among the nodes that it can
+  ///     reach.
   bool PollsConfig() const;
   /// Queues a call until its organisation's central bucket grants a token.
   void QueueForToken(Call& call);
@@ -338,6 +339,9 @@
   ///     has one allocator.
   uint32_t RatePartitionCount() const;
   uint32_t RatePartitionOf(const std::string& organisation) const;
+  /// @return the node of the highest score among those that can be reached. Two
+  ///     nodes may choose differently: each allocator hands out only the part
+  ///     of the nodes that report to it.
   NodeId AllocatorOfPartition(uint32_t partition) const;
   NodeId RateAllocatorFor(const std::string& organisation) const {
     return AllocatorOfPartition(RatePartitionOf(organisation));
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -304,8 +304,10 @@
   size_t pollers = kMinConfigPollers + NodeCount() / kNodesPerConfigPoller;
   uint64_t own_score = Hash("watch/" + identity_.node);
   size_t nodes_with_higher_score = 0;
-  for (const auto& [node, member] : members_)
-    nodes_with_higher_score += Hash("watch/" + node) > own_score ? 1 : 0;
+  for (const auto& [node, member] : members_) {
+    if (CanReach(node))
+      nodes_with_higher_score += Hash("watch/" + node) > own_score ? 1 : 0;
+  }
   return nodes_with_higher_score < pollers;
 }
 
@@ -340,7 +342,7 @@
   uint64_t best_score = Hash(prefix + best);
   for (const auto& [node, member] : members_) {
     uint64_t score = Hash(prefix + node);
-    if (score > best_score) {
+    if (score > best_score && CanReach(node)) {
       best = node;
       best_score = score;
     }
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -61,9 +61,9 @@
   }
   microseconds wait = ExpectedWait(work.rank, work.onward, now);
   TimePoint useful_until = std::min(work.useful_until, work.deadline);
-  microseconds usable(static_cast<int64_t>(
-      static_cast<double>((useful_until - now).count()) *
-      UsableTimeFraction(work.onward)));
+  microseconds usable(
+      static_cast<int64_t>(static_cast<double>((useful_until - now).count()) *
+                           UsableTimeFraction(work.onward)));
   if (wait.count() > 0 && wait + service > usable) {
     changes.refuse.push_back(work.work);
     return changes;
