Keep the service of the last load report when records are read again

Cause: each read of the records set the service of all nodes from their records. Where a target of another service has taken a host over, the load report is newer than the record: the node was moved to its old service and was not used until its next report, after every read. Change: a record that says nothing new changes nothing.

--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -288,6 +288,10 @@
   bool known = !member.record.address().empty();
   bool restarted = known && member.record.node().boot() < record.node().boot();
   bool address_changed = known && member.record.address() != record.address();
+  // Without news the service stays that of the last load report, which may be
+  // newer than the record.
+  if (known && !restarted && !address_changed)
+    return;
   member.record = record;
   target_selector_.SetNode(node, record.node().service(), record.node().zone());
   // The link may already lead to the new incarnation.
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -120,13 +120,13 @@
     return all;
   }
 
-  static std::vector<StoreEntry> MakeRecords(
-      const std::vector<std::pair<std::string, uint64_t>>& nodes) {
+  std::vector<StoreEntry> MakeRecords(
+      const std::vector<std::pair<std::string, uint64_t>>& nodes) const {
     std::vector<StoreEntry> entries;
     for (const auto& [name, incarnation] : nodes) {
       wire::NodeRecord record;
       record.mutable_node()->set_node(name);
-      record.mutable_node()->set_service("shop");
+      record.mutable_node()->set_service(recorded_service_);
       record.mutable_node()->set_zone("a");
       record.mutable_node()->set_boot(incarnation);
       record.set_address(name + ":1");
@@ -179,6 +179,7 @@
   TimePoint now_{100s};
   std::vector<CallStore> store_calls_;
   std::vector<OpenLink> opened_links_;
+  std::string recorded_service_ = "shop";  ///< In the records of other nodes.
   uint64_t calls_ = 0;
 };
 
@@ -473,6 +474,45 @@
   EXPECT_EQ(node_->StatusAt(now_).members, 0u);
 }
 
+// The target beside a node was replaced by one of another service, and the
+// node's record is older. Guards against a target that is not used for some
+// time after each read of the records.
+TEST_F(MeshReducerTest, ReadOfRecordsKeepsServiceOfLoadReport) {
+  recorded_service_ = "annex";
+  LinkId link = ConnectNode("there");
+  Advance(31s);
+  Configure();
+  SendLoad(link);
+  ASSERT_EQ(All<SendForward>(SendCall("/read/1")).size(), 1u);
+  AnswerStore({{"there", 1}});
+  EXPECT_EQ(All<SendForward>(SendCall("/read/2")).size(), 1u);
+}
+
+// A node stops, and stays a member until the records are read again. Guards
+// against duties that no node performs meanwhile: keys are refused without
+// confirmations of the configuration, and rates are not divided.
+TEST_F(MeshReducerTest, UnreachableMembersHaveNoDuties) {
+  Configure();
+  std::vector<std::pair<std::string, uint64_t>> nodes;
+  for (int i = 0; i < 40; ++i)
+    nodes.emplace_back("node-" + std::to_string(i), 1);
+  Feed(Tick{});
+  AnswerStore(nodes);
+  std::vector<OpenLink> links = std::exchange(opened_links_, {});
+  ASSERT_EQ(links.size(), 40u);
+  EXPECT_TRUE(node_->StatusAt(now_).polls_config);
+  for (const OpenLink& open : links) {
+    wire::Hello hello;
+    hello.set_node(open.address.substr(0, open.address.find(':')));
+    Feed(LinkOpened{open.link, hello, false});
+  }
+  EXPECT_FALSE(node_->StatusAt(now_).polls_config);
+  for (const OpenLink& open : links)
+    Feed(LinkClosed{open.link});
+  EXPECT_TRUE(node_->StatusAt(now_).polls_config);
+  EXPECT_EQ(node_->StatusAt(now_).members, 40u);
+}
+
 // A node is replaced at another address and opens a link before its new record
 // is seen.
 TEST_F(MeshReducerTest, HelloReplacesAddressOfEarlierIncarnation) {
