Keep nodes that just joined when an old read lacks them; repeat lost reads

Cause: found in review. A read that is some seconds old can lack the record of a node that has just opened a link; the node was then forgotten until it was read again, up to 30 s later. A read that failed after the own record was written was not repeated. Test: OldReadKeepsNodeThatJustJoined (not run on the code before).

--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -228,8 +228,10 @@
                      member_reads_.reading = false;
                      const auto* range = std::get_if<StoreRangeResult>(&result);
                      if (!range) {
-                       if (!member_reads_.done)
-                         member_reads_.next_read_at = now_ + kStoreRetryDelay;
+                       if (member_reads_.serializable)
+                         return;
+                       member_reads_.after_own_record = record_.written;
+                       member_reads_.next_read_at = now_ + kStoreRetryDelay;
                        return;
                      }
                      for (const StoreEntry& entry : range->entries) {
@@ -314,9 +316,11 @@
   Member& member = members_.at(node);
   member.has_record = false;
   // The lease may have expired while the store was unreachable, and the record
-  // may be newer than the read, so a node with an open link stays a member.
+  // may be newer than the read, so a node that has an open link, or had one or
+  // joined a short time ago, stays a member.
   auto link = links_.find(member.link);
-  if (link == links_.end() || !link->second.open)
+  bool open = link != links_.end() && link->second.open;
+  if (!open && now_ - member.linked_at > kUnreachableMemberDelay)
     RemoveMember(node);
 }
 
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -513,6 +513,19 @@
   EXPECT_EQ(node_->StatusAt(now_).members, 40u);
 }
 
+// Guards against a node that has just joined and is forgotten until the next
+// read, because a read that is some seconds old lacks its record.
+TEST_F(MeshReducerTest, OldReadKeepsNodeThatJustJoined) {
+  ConnectNode("there");
+  Advance(31s);
+  wire::Hello hello;
+  hello.set_node("new");
+  hello.set_address("new:1");
+  Feed(LinkOpened{LinkId{uint64_t{1} << 63}, hello, true});
+  AnswerStore({{"there", 1}});
+  EXPECT_EQ(node_->StatusAt(now_).members, 2u);
+}
+
 // A node is replaced at another address and opens a link before its new record
 // is seen.
 TEST_F(MeshReducerTest, HelloReplacesAddressOfEarlierIncarnation) {
