--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -303,7 +303,7 @@
   /// link to an earlier incarnation.
   void ApplyNodeRecord(const NodeId& node, const wire::NodeRecord& record);
   /// Handles a read of all records without that of a member. The node stays a
-  /// member while a link to it is open.
+  /// member while a link to it is open, and some seconds longer.
   void OnRecordMissing(const NodeId& node);
   void RemoveMember(const NodeId& node);
 
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -25,7 +25,8 @@
 /// they read, so the reads serve to notice members that are gone.
 constexpr milliseconds kMinMemberReadInterval = 5000ms;
 constexpr milliseconds kMemberReadInterval = 30'000ms;
-/// Time without a link to a member after which the records are read.
+/// Time without a link to a member after which the records are read, and after
+/// which a member without a record is removed.
 constexpr milliseconds kUnreachableMemberDelay = 3000ms;
 /// Number of records read in one call.
 constexpr int64_t kRecordsPerPage = 400;
