--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,83 +1,74 @@
-"""A node is stopped (SIGTERM) while clients still read their answers."""
+"""Some upstreams spoil some of their answers: wrong bytes follow the last
+chunk."""
 
 import asyncio
-import random
-import signal
-import socket
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-from platform_standins import (Client, Fleet, main, make_config, read_head)
+from platform_standins import Client, Fleet, Supervisor, main, make_config
 
-ANSWER_BYTES = 4_000_000
-READ_BYTES_PER_S = 1_000_000
-CLIENTS = 5
-BUDGET_MS = 10_000
-
-
-async def read_slowly(record, node):
-    """Returns (request id, bytes announced, bytes received)."""
-    client = Client(record, node)
-    request = client.next_id()
-    # An Ethernet-size segment and a small receive buffer: on loopback the
-    # kernel would otherwise buffer megabytes between the two processes.
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (node.ip, 8548))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=8192)
-    record(f"client at {node.name} sends {request} GET /view/lot")
-    writer.write(client.head("GET", "/view/lot", request, BUDGET_MS))
-    head = await read_head(reader)
-    if not head:
-        record(f"client got no answer for {request}")
-        return request, 0, 0, False
-    length = int(head[1]["content-length"])
-    record(f"client reads the answer to {request}: {head[0]}, {length} bytes")
-    body = b""
-    end = "the end"
-    try:
-        while len(body) < length:
-            data = await reader.read(4096)
-            if not data:
-                break
-            body += data
-            await asyncio.sleep(len(data) / READ_BYTES_PER_S)
-    except ConnectionError as error:
-        end = repr(error)
-    whole = body == random.Random(request).randbytes(length)
-    record(f"client got {len(body)} of {length} bytes for {request}, then "
-           f"{'' if whole else end + ' of the connection'}")
-    writer.close()
-    return request, length, len(body), whole
+# Two of four upstreams spoil each 33rd answer, for 5 s, six times.
+SPOILING_UPSTREAMS = 2
+SPOILED_ANSWER = 33
+SPOIL_S = 5
+PAUSE_S = 3
+PERIODS = 6
+WRONG_BYTES = 70_000
+ORDERS_PER_S = 60
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, ["viewdesk", "lotbook", "lotbook"])
+    fleet = Fleet(record, ["viewdesk"] + ["printhouse"] * 4)
+    supervisor = None
     try:
         await fleet.start(
-            make_config(1, ["viewdesk", "lotbook"],
-                        [{"prefix": "/view/", "route_type": "idempotent",
-                          "service": "lotbook"}]),
-            answer_bytes=ANSWER_BYTES)
-        entry = fleet.nodes[0]
-        reads = [asyncio.create_task(read_slowly(record, entry))
-                 for _ in range(CLIENTS)]
-        await asyncio.sleep(0.5)
-        stopped = None
+            make_config(1, ["viewdesk", "printhouse"],
+                        [{"prefix": "/order/", "route_type": "non_idempotent",
+                          "service": "printhouse"}]))
+        supervisor = Supervisor(record, fleet)
+        begin = record.now()
+
+        def garble_of(upstream):
+            answers = 0
+
+            async def garble(writer, request, body):
+                nonlocal answers
+                if (record.now() - begin) % (SPOIL_S + PAUSE_S) > SPOIL_S:
+                    return False
+                answers += 1
+                if answers % SPOILED_ANSWER != 0:
+                    return False
+                record(f"upstream {upstream.id} spoils its answer to {request}")
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\nX-Comfreylock-Request-Id: {request}"
+                    f"\r\nX-Comfreylock-Server-Signature: s.{request}\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                    f"{len(body):x}\r\n".encode() + body +
+                    b"\r\n0\r\n" + b"x" * WRONG_BYTES + b": x\r\n\r\n")
+                await writer.drain()
+                return True
+            return garble
+
         if trouble:
-            entry.signal(signal.SIGTERM)
-            stopped = asyncio.create_task(entry.ended())
-        results = await asyncio.gather(*reads)
-        if stopped:
-            await asyncio.wait_for(stopped, 7)
-        ran = {request for up in fleet.upstreams for _, request in up.runs}
-        lost = [r for r, _, _, whole in results if not whole and r in ran]
-        record(f"{len(lost)} of {CLIENTS} answers were cut off")
-        return not lost
+            for upstream in fleet.upstreams[1:1 + SPOILING_UPSTREAMS]:
+                upstream.garble = garble_of(upstream)
+        orders = []
+        count = ORDERS_PER_S * PERIODS * (SPOIL_S + PAUSE_S)
+        for i in range(count):
+            await asyncio.sleep(max(0, begin + i / ORDERS_PER_S - record.now()))
+            client = Client(record, fleet.nodes[i % len(fleet.nodes)])
+            orders.append(asyncio.create_task(
+                client.request("POST", "/order/new", b"labels=100")))
+        statuses = [status for _, status in await asyncio.gather(*orders)]
+        record(f"answers: { {s: statuses.count(s) for s in set(statuses)} }")
+        for name, ends in supervisor.ends.items():
+            record(f"{name} ended by itself {ends} times")
+        often = [n for n, ends in supervisor.ends.items() if ends >= 3]
+        return len(often) < 2
     finally:
+        if supervisor:
+            supervisor.stop()
         await fleet.stop()
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,51 +1,70 @@
-"""Upstreams read the bodies of uploads slowly. The supervisor kills a node
-whose memory exceeds the machine's limit, as the platform does."""
+"""A node restarts after its upstream has left; then a status report arrives
+that the upstream had sent before it left."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
-from platform_standins import Client, Fleet, Supervisor, main, make_config
+from platform_standins import BOUNDS, Client, Fleet, main, make_config
 
-UPLOAD_BYTES = 8_000_000
-UPLOADS_PER_S = 10
-UPLOAD_TIME_S = 40
-SLOW_READ_BYTES_PER_S = 2_000_000
+REPORT_DELAY_S = 3.5  # The last report before the leave arrives so much later.
+RESTART_DELAY_S = 0.5
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, ["viewdesk", "certbox", "certbox"])
-    supervisor = None
+    fleet = Fleet(record, ["viewdesk", "printhouse", "printhouse"])
     try:
         await fleet.start(
-            make_config(1, ["viewdesk", "certbox"],
-                        [{"prefix": "/upload/", "route_type": "upload",
-                          "service": "certbox", "timeout_ms": 5000}]),
-            work_s=0.26, slots=55)
-        supervisor = Supervisor(record, fleet)
+            make_config(1, ["viewdesk", "printhouse"],
+                        [{"prefix": "/order/", "route_type": "non_idempotent",
+                          "service": "printhouse"}]),
+            work_s=0.3)
+        entry, node, _ = fleet.nodes
+        leaving = fleet.upstreams[1]
+
+        # The report is on its way when the upstream leaves.
+        late = leaving.report_body("ready")
+        late_path = f"/v1/Instances.Heartbeat/{leaving.id}"
+        record(f"upstream {leaving.id} sends report {late}, which is delayed")
+        delivery = record.now() + REPORT_DELAY_S
+        await asyncio.sleep(0.3)
+        confirmed = await leaving.deregister()
+        await asyncio.sleep(0.5)
+
+        in_touch = record.now()
         if trouble:
-            for upstream in fleet.upstreams:
-                upstream.read_rate = SLOW_READ_BYTES_PER_S
-            record(f"upstreams read {SLOW_READ_BYTES_PER_S} bytes a second of "
-                   "each request")
-        body = bytes(UPLOAD_BYTES)
-        uploads = []
-        for i in range(UPLOADS_PER_S * UPLOAD_TIME_S):
-            client = Client(record, fleet.nodes[i % len(fleet.nodes)])
-            uploads.append(asyncio.create_task(
-                client.request("POST", "/upload/photo", body)))
-            await asyncio.sleep(1 / UPLOADS_PER_S)
-        statuses = [status for _, status in await asyncio.gather(*uploads)]
-        record(f"answers: { {s: statuses.count(s) for s in set(statuses)} }")
-        for node in fleet.nodes:
-            record(f"{node.name}: peak {supervisor.peak[node.name]:.0f} MB, "
-                   f"ended {supervisor.ends[node.name]} times")
-        often = [n for n, ends in supervisor.ends.items() if ends >= 3]
-        return len(often) < 2
+            node.signal(signal.SIGKILL)
+            await node.ended()
+            await asyncio.sleep(RESTART_DELAY_S)
+            await node.start()
+            in_touch = record.now() + BOUNDS["contact_ms"] / 1000
+            await node.wait_ready()
+        await asyncio.sleep(max(0, delivery - record.now()))
+        status = await leaving.say(late_path, late)
+        record(f"the delayed report arrives at {node.name}: {status}")
+
+        # From here on all machines are in touch, and drain_ms is over.
+        begin = max(in_touch, confirmed + BOUNDS["drain_ms"] / 1000) + 0.3
+        await asyncio.sleep(max(0, begin - record.now()))
+        record(f"all machines are in touch since {in_touch:.3f}; drain_ms is "
+               f"over since {confirmed + BOUNDS['drain_ms'] / 1000:.3f}")
+        client = Client(record, entry)
+        tasks = []
+        for _ in range(40):
+            tasks.append(asyncio.create_task(
+                client.request("POST", "/order/new", b"labels=100")))
+            await asyncio.sleep(0.08)
+        # The upstream has served long enough and exits.
+        await leaving.stop()
+        results = await asyncio.gather(*tasks)
+        late_runs = {r for at, r in leaving.runs if at >= begin}
+        lost = [r for r, status in results if r in late_runs and status != 200]
+        record(f"{len(late_runs)} of {len(results)} orders reached the upstream "
+               f"that had left; {len(lost)} of them ended without its answer")
+        return not late_runs
     finally:
-        if supervisor:
-            supervisor.stop()
         await fleet.stop()
 
 
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -227,6 +227,11 @@
         return 404, {}
 
 
+def body_of(request, size):
+    """The body of the answer to a request: other bytes for each id."""
+    return random.Random(request).randbytes(size)
+
+
 class Upstream:
     """A server of one service, beside one node. Runs a request for `work_s`
     and answers with `answer_bytes` bytes."""
@@ -327,6 +332,11 @@
                 await asyncio.sleep(len(data) / self.read_rate)
         return got
 
+    def answer(self, request, body):
+        return (f"HTTP/1.1 200 OK\r\nX-Comfreylock-Request-Id: {request}\r\n"
+                f"X-Comfreylock-Server-Signature: {self.id}.{request}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
     async def serve(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -352,13 +362,10 @@
                 self.record(f"upstream {self.id} ({self.service}) runs "
                             f"{request}")
                 await asyncio.sleep(self.work_s)
-                body = random.Random(request).randbytes(self.answer_bytes)
+                body = body_of(request, self.answer_bytes)
                 if self.garble and await self.garble(writer, request, body):
                     return
-                writer.write(
-                    f"HTTP/1.1 200 OK\r\nX-Comfreylock-Request-Id: {request}"
-                    f"\r\nX-Comfreylock-Server-Signature: {self.id}.{request}"
-                    f"\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                writer.write(self.answer(request, body))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -599,11 +606,12 @@
             text += f"Content-Length: {length}\r\n"
         return text.encode() + b"\r\n"
 
-    async def request(self, method, path, body=None, budget_ms=5000):
-        """Sends one request on a new connection. Returns (id, status); status
-        0: the connection ended without a whole answer."""
+    async def exchange(self, method, path, body=None, budget_ms=5000):
+        """Sends one request on a new connection. Returns its id and the
+        status, fields and body of the answer; status 0: the connection ended
+        without a whole answer."""
         request = self.next_id()
-        status = 0
+        status, fields, content = 0, {}, b""
         self.record(f"client at {self.node.name} sends {request} {method} "
                     f"{path} ({len(body or b'')} bytes)")
         try:
@@ -611,19 +619,27 @@
             writer.write(self.head(method, path, request, budget_ms,
                                    None if body is None else len(body))
                          + (body or b""))
+
             async def answer():
                 await writer.drain()
                 head = await read_head(reader)
                 if not head:
-                    return 0
-                await read_body(reader, head[1])
-                return int(head[0].split(" ")[1])
-            status = await asyncio.wait_for(answer(), budget_ms / 1000 + 0.5)
+                    return 0, {}, b""
+                content = await read_body(reader, head[1])
+                return int(head[0].split(" ")[1]), head[1], content
+            status, fields, content = await asyncio.wait_for(
+                answer(), budget_ms / 1000 + 0.5)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
         self.record(f"client at {self.node.name} got {status or 'no answer'} "
                     f"for {request}")
+        return request, status, fields, content
+
+    async def request(self, method, path, body=None, budget_ms=5000):
+        """The same; returns only the id and the status."""
+        request, status, _, _ = await self.exchange(method, path, body,
+                                                    budget_ms)
         return request, status
 
 
