End the sender's connection, not the node, for bytes that cannot be accepted

Cause: the HTTP parser throws for a trailer field of 64 kB or more instead of returning an error code, and no handler between it and the event loop catches exceptions.

Change: InterpretInput is the one place that turns an exception into an error. The read handlers of HttpClient, HttpServer and LinkHub end the exchange, the connection or the link with it; decoders of reports, configurations and the store's answers reject the entry. Other paths of the same kind: trailers of requests, addresses of links, values in frames (CheckFrame), numbers outside their types, JSON nested without limit, bodies of the node's own interfaces, and the input buffers of the other node program. attempt_failed logs what was wrong.

--- a/src/http_io.h
+++ b/src/http_io.h
@@ -26,7 +26,8 @@
 
 /// Received bytes of one connection that may wait to be parsed. A peer that
 /// exceeds them, for instance with an endless chunk header, is disconnected.
-inline constexpr size_t kMaxInputBufferBytes = 256 * 1024;
+/// The parser throws for a trailer field of 64 kB, so no such field may fit.
+inline constexpr size_t kMaxInputBufferBytes = 64 * 1024;
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
--- a/src/json_reader.cc
+++ b/src/json_reader.cc
@@ -25,6 +25,16 @@
   return kEmpty;
 }
 
+nlohmann::json::parser_callback_t DepthCheck(std::string_view origin) {
+  return [origin](int depth, auto /*event*/, auto& /*value*/) {
+    if (depth > kMaxJsonDepth) {
+      throw InputError(std::string(origin) + " is nested deeper than " +
+                       std::to_string(kMaxJsonDepth) + " levels");
+    }
+    return true;
+  };
+}
+
 template <typename T>
 std::string RangeText(T lowest, T highest) {
   return std::to_string(lowest) + " to " + std::to_string(highest);
@@ -34,7 +44,9 @@
 
 nlohmann::json ParseJson(std::string_view text, std::string_view origin) {
   try {
-    return nlohmann::json::parse(text, nullptr, true, true);
+    return nlohmann::json::parse(text, DepthCheck(origin), true, true);
+  } catch (const nlohmann::json::out_of_range& error) {
+    throw InputError(std::string(origin) + ": " + error.what());
   } catch (const nlohmann::json::parse_error& error) {
     size_t line = 1;
     size_t column = 1;
@@ -51,6 +63,14 @@
   }
 }
 
+nlohmann::json ParsePlainJson(std::string_view text, std::string_view what) {
+  nlohmann::json document =
+      nlohmann::json::parse(text, DepthCheck(what), false);
+  if (document.is_discarded())
+    throw InputError(std::string(what) + " is not JSON");
+  return document;
+}
+
 std::chrono::milliseconds ParseDuration(std::string_view text) {
   static constexpr std::pair<std::string_view, int64_t> kUnits[] = {
       {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}};
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -18,10 +18,20 @@
 /// errors that name the field.
 namespace comfreylock {
 
-/// @return the parsed document.
-/// @throws InputError with line and column if `text` is not JSON.
+/// Deepest nesting of arrays and objects in a document.
+inline constexpr int kMaxJsonDepth = 64;
+
+/// @return the parsed document. Comments are allowed.
+/// @throws InputError with line and column if `text` is not JSON, contains a
+/// number that no double holds, or is nested deeper than `kMaxJsonDepth`.
 nlohmann::json ParseJson(std::string_view text, std::string_view origin);
 
+/// @return the parsed document, which another program wrote; comments are
+/// errors.
+/// @param what names the document in errors.
+/// @throws InputError as `ParseJson`, without line and column.
+nlohmann::json ParsePlainJson(std::string_view text, std::string_view what);
+
 /// @param text such as `250ms`, `2s`, `5m` or `24h`.
 /// @return the duration, or a negative one if `text` is not a duration.
 std::chrono::milliseconds ParseDuration(std::string_view text);
--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -77,6 +77,7 @@
   Kind kind = Kind::kOutcomeUnknown;
   bool connection_refused = false;  ///< Nothing listens at the address.
   bool success = false;             ///< Status 2xx.
+  std::string error;  ///< What was wrong with an invalid answer, if known.
   int status = 0;
   std::string status_text;
   Fields fields;
--- /dev/null
+++ b/src/mesh/frame_check.cc
@@ -0,0 +1,59 @@
+#include "mesh/frame_check.h"
+
+#include <cmath>
+#include <limits>
+
+#include "comfreylock/types.h"
+
+namespace comfreylock::mesh {
+namespace {
+
+/// Differences of two times of up to half the range do not overflow.
+constexpr uint64_t kMaxSentUs = std::numeric_limits<int64_t>::max() / 2;
+constexpr uint32_t kMinFinalStatus = 200;
+constexpr uint32_t kMaxStatus = 999;
+
+void Require(bool valid, const char* field) {
+  if (!valid)
+    throw InputError(std::string(field) + " is out of range");
+}
+
+void RequireRate(float value, const char* field) {
+  Require(std::isfinite(value) && value >= 0, field);
+}
+
+}  // namespace
+
+void CheckFrame(const wire::Frame& frame) {
+  switch (frame.body_case()) {
+    case wire::Frame::kLoad:
+      Require(frame.load().sent_us() <= kMaxSentUs, "load.sent_us");
+      return;
+    case wire::Frame::kForward:
+      Require(frame.forward().sent_us() <= kMaxSentUs, "forward.sent_us");
+      return;
+    case wire::Frame::kOutcome: {
+      const wire::Outcome& outcome = frame.outcome();
+      Require(outcome.kind() != wire::Outcome::ANSWERED ||
+                  (outcome.status() >= kMinFinalStatus &&
+                   outcome.status() <= kMaxStatus),
+              "outcome.status");
+      Require(outcome.load().sent_us() <= kMaxSentUs, "outcome.load.sent_us");
+      return;
+    }
+    case wire::Frame::kDemand:
+      for (const wire::Demand::Row& row : frame.demand().rows())
+        RequireRate(row.per_second(), "demand.rows.per_second");
+      return;
+    case wire::Frame::kShares:
+      for (const wire::Shares::Row& row : frame.shares().rows()) {
+        RequireRate(row.per_second(), "shares.rows.per_second");
+        RequireRate(row.burst(), "shares.rows.burst");
+      }
+      return;
+    default:
+      return;
+  }
+}
+
+}  // namespace comfreylock::mesh
--- a/src/mesh/http_client.cc
+++ b/src/mesh/http_client.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "http_io.h"
+#include "mesh/peer_input.h"
 #include "mesh/socket_options.h"
 
 namespace comfreylock::mesh {
@@ -194,23 +195,29 @@
           if (closed_)
             return;
           buffer_.commit(bytes);
-          if (error) {
-            OnReadError(error);
-            return;
-          }
-          if (exchange_) {
-            received_bytes_ += bytes;
-            client_.buffered_bytes_ += bytes;
-            client_.LimitBufferedBytes();
-            if (closed_)
-              return;
-          }
-          Parse();
-          if (!closed_)
+          auto input_error = InterpretInput([&] { OnRead(error, bytes); });
+          if (input_error)
+            Fail(ExchangeResult::Kind::kBroken, false, *input_error);
+          else if (!error && !closed_)
             Read();
         });
   }
 
+  void OnRead(error_code error, size_t bytes) {
+    if (error) {
+      OnReadError(error);
+      return;
+    }
+    if (exchange_) {
+      received_bytes_ += bytes;
+      client_.buffered_bytes_ += bytes;
+      client_.LimitBufferedBytes();
+      if (closed_)
+        return;
+    }
+    Parse();
+  }
+
   void Parse() {
     if (!exchange_) {
       // The server sent bytes without a request.
@@ -223,11 +230,11 @@
       buffer_.consume(used);
       if (error == http::error::need_more) {
         if (buffer_.size() > kMaxUnparsedBytes)
-          Fail(ExchangeResult::Kind::kBroken, false);
+          Fail(ExchangeResult::Kind::kBroken, false, "line too long");
         return;
       }
       if (error) {
-        Fail(ExchangeResult::Kind::kBroken, false);
+        Fail(ExchangeResult::Kind::kBroken, false, error.message());
         return;
       }
       if (parser_->is_done())
@@ -309,7 +316,10 @@
     done(std::move(result));
   }
 
-  void Fail(ExchangeResult::Kind kind, bool refused) {
+  /// @param error what was wrong with the server's bytes, if that is the cause.
+  void Fail(ExchangeResult::Kind kind,
+            bool refused,
+            std::string error = std::string()) {
     Callback done = std::exchange(done_, nullptr);
     client_.exchanges_.erase(exchange_);
     exchange_ = 0;
@@ -318,6 +328,7 @@
     ExchangeResult result;
     result.kind = kind;
     result.refused = refused;
+    result.error = std::move(error);
     if (done)
       done(std::move(result));
   }
--- a/src/mesh/http_client.h
+++ b/src/mesh/http_client.h
@@ -28,6 +28,7 @@
   };
   Kind kind = Kind::kBroken;
   bool refused = false;  ///< The server refused the connection (ECONNREFUSED).
+  std::string error;     ///< What was wrong with the answer's bytes, if known.
   HttpAnswer answer;
 };
 
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "http_io.h"
+#include "mesh/peer_input.h"
 #include "mesh/socket_options.h"
 
 namespace comfreylock::mesh {
@@ -159,7 +160,7 @@
             Close();
             return;
           }
-          Parse();
+          ParseInput();
           // Reading stops while the pipeline is full. The client's close is
           // then noticed only after the pending answers are written.
           if (pending_answers_.size() < kMaxPipelinedRequests)
@@ -167,6 +168,16 @@
         });
   }
 
+  void ParseInput() {
+    if (!InterpretInput([this] { Parse(); }) || closed_)
+      return;
+    // Without a parser, the request was complete and was delivered.
+    if (parser_)
+      RefuseAndClose(kBadRequest);
+    else
+      Close();
+  }
+
   void Parse() {
     while (!closed_ && !final_answer_queued_ && !stop_parsing_ &&
            buffer_.size() > 0 &&
@@ -367,7 +378,7 @@
     // Requests may remain in the buffer from when the pipeline was full.
     if (buffer_.size() > 0 && !resuming_parse_) {
       resuming_parse_ = true;
-      Parse();
+      ParseInput();
       resuming_parse_ = false;
     }
     if (pending_answers_.size() < kMaxPipelinedRequests)
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 
 #include "http_io.h"
+#include "mesh/frame_check.h"
+#include "mesh/peer_input.h"
 #include "mesh/socket_options.h"
 
 namespace comfreylock::mesh {
@@ -35,8 +37,13 @@
       : hub_(hub), id_(id), socket_(std::move(socket)), timer_(hub.context_) {}
 
   void Open(const std::string& address) {
+    asio::ip::tcp::endpoint endpoint;
+    if (InterpretInput([&] { endpoint = ParseEndpoint(address); })) {
+      FailLater();
+      return;
+    }
     StartHandshakeTimer();
-    socket_.async_connect(ParseEndpoint(address),
+    socket_.async_connect(endpoint,
                           [this, self = shared_from_this()](error_code error) {
                             if (closed_)
                               return;
@@ -64,9 +71,7 @@
           static_cast<uint8_t>(size >> (8 * (kLengthPrefixBytes - 1 - i)));
     frame.SerializeWithCachedSizesToArray(bytes + kLengthPrefixBytes);
     if (output_.size() > kMaxUnsentBytes) {
-      // Fails in a later turn of the event loop, because no event may be raised
-      // while an effect is applied.
-      asio::post(hub_.context_, [this, self = shared_from_this()] { Fail(); });
+      FailLater();
       return;
     }
     ScheduleFlush();
@@ -99,6 +104,12 @@
     Read();
   }
 
+  /// Fails in a later turn of the event loop, because no event may be raised
+  /// while an effect is applied.
+  void FailLater() {
+    asio::post(hub_.context_, [this, self = shared_from_this()] { Fail(); });
+  }
+
   void Fail() {
     if (closed_)
       return;
@@ -151,7 +162,8 @@
           }
           input_.resize(at + bytes);
           hub_.received_bytes_ += bytes;
-          ParseFrames();
+          if (InterpretInput([this] { ParseFrames(); }))
+            Fail();
           if (!closed_)
             Read();
         });
@@ -171,10 +183,9 @@
         break;
       auto frame = std::make_shared<wire::Frame>();
       if (!frame->ParseFromArray(input_.data() + at + kLengthPrefixBytes,
-                                 static_cast<int>(size))) {
-        Fail();
-        return;
-      }
+                                 static_cast<int>(size)))
+        throw InputError("frame cannot be parsed");
+      CheckFrame(*frame);
       at += kLengthPrefixBytes + size;
       HandleFrame(std::move(frame));
     }
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -191,7 +191,8 @@
          {"reason", wrong_target                               ? "wrong_target"
                     : not_connected                            ? "not_connected"
                     : result.kind == TargetResult::Kind::kShed ? "target_shed"
-                                                               : "broken"}});
+                                                               : "broken"},
+         {"error", result.error}});
   }
   if (wrong_target && target_.known) {
     target_.known = false;
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "comfreylock/config.h"
+#include "mesh/peer_input.h"
 #include "mesh/socket_options.h"
 #include "node_clock.h"
 
@@ -102,12 +103,17 @@
   if (processing_events_)
     return;
   processing_events_ = true;
+  // If an event cannot be handled, the exception ends the connection that it
+  // came from. The remaining events are handled with the next one.
+  auto end_processing = [this](bool*) { processing_events_ = false; };
+  std::unique_ptr<bool, decltype(end_processing)> guard(&processing_events_,
+                                                        end_processing);
   while (!events_.empty()) {
     EventBody next = std::move(events_.front());
     events_.pop_front();
     Reduce(std::move(next));
   }
-  processing_events_ = false;
+  guard.reset();
   ScheduleWake();
 }
 
@@ -204,6 +210,8 @@
     } else if (exchange.kind == ExchangeResult::Kind::kNotSent) {
       result.kind = TargetResult::Kind::kNotSent;
       result.connection_refused = exchange.refused;
+    } else {
+      result.error = std::move(exchange.error);
     }
     Feed(TargetAnswered{work, std::move(result)});
   };
@@ -228,14 +236,15 @@
 void MeshRuntime::Apply(const DecodeConfig& effect) {
   if (!config_decoder_)
     return;
-  try {
-    // The store may have a newer configuration than the peer, so the time of
-    // confirmation is left unset.
-    Feed(ConfigRead{config_decoder_(effect.text), TimePoint()});
-  } catch (const InputError& error) {
-    Log(LogCode::kConfigRejected,
-        {{"peer", effect.from}, {"error", error.what()}});
+  std::shared_ptr<const FleetConfig> config;
+  auto error = InterpretInput([&] { config = config_decoder_(effect.text); });
+  if (error) {
+    Log(LogCode::kConfigRejected, {{"peer", effect.from}, {"error", *error}});
+    return;
   }
+  // The store may have a newer configuration than the peer, so the time of
+  // confirmation is left unset.
+  Feed(ConfigRead{std::move(config), TimePoint()});
 }
 
 void MeshRuntime::Apply(const WriteLogLine& effect) {
--- a/tests/io/http_test.cc
+++ b/tests/io/http_test.cc
@@ -434,6 +434,33 @@
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 4")) << answer;
 }
 
+// Guards against a trailer with a field so large that the parser throws in the
+// event loop, which would end the node.
+TEST_F(HttpTest, LargeTrailerEndsItsConnectionOnly) {
+  std::string trailer = std::string(70'000, 'x') + ": x\r\n\r\n";
+  std::atomic<bool> spoils = true;
+  Start([&](TestConnection& connection) {
+    while (!connection.ReadUntil("\r\n\r\n").empty()) {
+      if (!spoils) {
+        connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        continue;
+      }
+      connection.Send(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\nok\r\n0\r\n" +
+          trailer);
+    }
+  });
+  EXPECT_FALSE(SendAndReadAll(kGet).ends_with("0\r\n\r\n"));
+  spoils = false;
+  std::string answer = SendAndReadAll(
+      "PUT /a HTTP/1.1\r\nHost: x\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+      trailer);
+  EXPECT_FALSE(answer.starts_with("HTTP/1.1 2")) << answer;
+  EXPECT_TRUE(SendAndReadAll(kGet).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a target that goes on answering 100 until the deadline.
 TEST_F(HttpTest, EndlessInterimAnswersBreakAttempt) {
   Start([](TestConnection& connection) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -103,6 +103,69 @@
   }
 }
 
+/// @return a report or leave in which one member has this value.
+std::string ReportWith(const std::string& name, const std::string& value) {
+  std::string text =
+      R"({"service": "s", "address": "127.0.0.1:80", "zone": "z", "slots": 5,
+          "state": "ready", "sequence": 1, "born": 2, "warmup_left_ms": 3)";
+  return text + ", \"" + name + "\": " + value + "}";
+}
+
+std::string Nested(int levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+// Another writer's values must be errors of that report. Guards against
+// numbers that do not fit their types, and against nesting that uses up the
+// memory or the stack.
+TEST(ParseReportTest, RejectsExtremeValues) {
+  EXPECT_EQ(ParseReport("i-1", ReportWith("slots", "6"), false).slots, 6u);
+  for (const char* name : {"sequence", "born", "slots", "warmup_left_ms"}) {
+    for (const char* value :
+         {"18446744073709551616", "1e30", "1e400", "-1", "-1e400",
+          "123456789012345678901234567890", "[]", "\"1\"", "true"}) {
+      std::string body = ReportWith(name, value);
+      EXPECT_THROW(ParseReport("i-1", body, false), InputError) << body;
+    }
+  }
+  EXPECT_THROW(ParseReport("i-1", ReportWith("slots", "4294967297"), false),
+               InputError);
+  for (int levels : {100, 5'000, 1'000'000}) {
+    std::string nested = Nested(levels);
+    EXPECT_THROW(ParseReport("i-1", nested, false), InputError);
+    EXPECT_THROW(ParseReport("i-1", nested, true), InputError);
+    EXPECT_THROW(ParseReport("i-1", ReportWith("x", nested), false),
+                 InputError);
+    EXPECT_THROW(ParseReport("i-1", std::string(levels, '['), false),
+                 InputError);
+  }
+}
+
+// The same for a configuration: it is rejected, and the last one stays.
+TEST(ParseConfigTest, RejectsExtremeValues) {
+  std::string base = kConfig;
+  auto with = [&base](const std::string& from, const std::string& to) {
+    std::string text = base;
+    size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+  };
+  EXPECT_EQ(ParseConfig(base).version, 12u);
+  for (const std::string& text :
+       {with("\"r12\"", "\"r18446744073709551616\""),
+        with("\"timeout_ms\": 1200", "\"timeout_ms\": 1e30"),
+        with("\"timeout_ms\": 1200", "\"timeout_ms\": 1e400"),
+        with("\"priority\": 2", "\"priority\": 4294967296"),
+        with("\"max_attempts\": 2", "\"max_attempts\": 1e20"),
+        with("\"max_header_bytes\": 1000", "\"max_header_bytes\": 1e12"),
+        with("\"idle_timeout_ms\": 400", "\"idle_timeout_ms\": 1e18"),
+        with("\"api_keys\": [",
+             "\"x\": " + Nested(5'000) + ", \"api_keys\": ["),
+        Nested(1'000'000)}) {
+    EXPECT_THROW(ParseConfig(text), InputError) << text.substr(0, 400);
+  }
+}
+
 mesh::HttpRequest Request() {
   mesh::HttpRequest request;
   request.method = "POST";
@@ -247,6 +310,23 @@
   EXPECT_EQ(settings.unknown_fields, std::vector<std::string>{"new_field"});
 }
 
+// Settings are read again while the node runs, so that a value of another type
+// must be an error that keeps the previous settings.
+TEST(ParseSettingsTest, RejectsExtremeValues) {
+  for (const char* value : {"1e400", "{}", "-1"}) {
+    std::string text = kSettings;
+    text.replace(text.find("1500"), 4, value);
+    EXPECT_THROW(ParseSettings(text, "boot"), InputError) << value;
+  }
+  EXPECT_THROW(ParseSettings(Nested(100'000), "boot"), InputError);
+  for (const char* port : {"65536", "-1", "99999999999999999999"}) {
+    std::string text = kSettings;
+    text.replace(text.find("127.0.0.1:3"), 11,
+                 "127.0.0.1:" + std::string(port));
+    EXPECT_THROW(ParseSettings(text, "boot"), InputError) << port;
+  }
+}
+
 TEST(ParseSettingsTest, ReportsEveryInvalidField) {
   std::string text = kSettings;
   text.replace(text.find("\"node\""), 6, "\"nod\"");
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -257,6 +257,33 @@
   EXPECT_EQ(hosts_.front()->runtime().status().config_version, 1u);
 }
 
+// Guards against a value in the store, written by another program, that ends
+// the nodes that read it, or that hides the other values from them.
+TEST_F(PlatformTest, UnreadableStoreValuesAreIgnored) {
+  Start(2);
+  std::string nested(20'000, '[');
+  for (const std::string& value :
+       {nested, nested + std::string(20'000, ']'),
+        std::string("\xff\xfe\x00", 3),
+        std::string(R"({"version": "r99999999999999999999999"})"),
+        std::string(
+            R"({"version": "r9", "limits": {"idle_timeout_ms": 1e99}})"),
+        std::string(R"({"version": "r9", "limits": [[[]]]})"),
+        std::string(R"({"version": "r9", "virtual_hosts": {"host": 1}})")}) {
+    store_->Put("op/config", value);
+    store_->Put("comfreylock/nodes/n9", value);
+    store_->Put("comfreylock/targets/n1", value);
+    RunFor(100ms);
+    EXPECT_EQ(Call(0, "/read/1").status, 200);
+  }
+  // A node that starts reads them all at once.
+  store_->Put("op/config", ConfigText("r11", "\"k1\""));
+  hosts_.push_back(std::make_unique<Host>(context_, 3, 5000ms));
+  RunFor(1500ms);
+  EXPECT_TRUE(hosts_.back()->runtime().status().ready);
+  EXPECT_EQ(Call(2, "/read/1").status, 200);
+}
+
 TEST_F(PlatformTest, ReadsConfigAgainAfterCompaction) {
   Start(2);
   store_->Compact();
