Write a target's leave before it is confirmed, and keep it over a restart

Cause: the ids and start times of targets that have left were kept in memory only, and the record in the store was emptied at a leave.

Change: the record lists the targets that have left. A leave applies at once and is confirmed when the store holds it, else answered with 503 after 0.85 s. Writes name the revision that they replace, so that a lost write that is carried out late cannot undo a leave; after an unknown outcome the record is read first. Its read is repeated after a failure, and reports wait for it.

Failed before, on with the new types only: RestartedNodeIgnoresLateReportOfDepartedTarget, LeaveIsConfirmedOnceWritten, EveryLeaveIsWrittenBeforeItIsConfirmed, LateWriteCannotUndoRecordOfLeave of MeshReducerTest. A node that restarts while the store is away uses its target only once the store answers.

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -105,6 +105,8 @@
 
 struct TargetReported {
   TargetReport report;
+  /// Answered with `AnswerReport`; 0 if nobody waits for an answer.
+  CallId call;
 };
 
 /// The operators' configuration was read from the store, or was received from
@@ -191,6 +193,14 @@
   WorkId work;
 };
 
+/// Answers a report of the target.
+struct AnswerReport {
+  CallId call;
+  /// False: what the target announced could not be written to the store in
+  /// time, so that it has to report it again.
+  bool confirmed = true;
+};
+
 /// Sends a request to the store. The result comes back as `StoreReplied`.
 struct CallStore {
   StoreRequestId call;
@@ -222,6 +232,7 @@
                             SendForward,
                             RunOnTarget,
                             AbortOnTarget,
+                            AnswerReport,
                             CallStore,
                             DecodeConfig,
                             WriteLogLine,
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -105,10 +105,8 @@
              {"age_ms", ConfigAgeText()}});
   }
   MaintainNodeRecord();
-  if (!target_record_read_)
-    ReadTargetRecord();
-  if (target_record_pending_)
-    WriteTargetRecord();
+  MaintainTargetRecord();
+  AnswerWrittenReports();
   RefreshMembers();
   UpdateFleetSize();
   CloseSilentLinks();
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -184,8 +184,20 @@
     TimePoint unreachable_until;  ///< Not used until then.
     double failure_ratio = 0;     ///< Smoothed over recent results.
     TimePoint last_answer_at;
-    /// Start times of the targets that have announced that they leave, by id.
-    std::map<std::string, uint64_t> departed;
+  };
+
+  /// A target that has announced that it leaves.
+  struct DepartedTarget {
+    std::string id;
+    uint64_t started_at_ms = 0;
+    uint64_t change = 0;  ///< Of `TargetRecord` that contains it.
+  };
+
+  /// A report that is answered once the store holds what it announced.
+  struct UnansweredReport {
+    CallId call;
+    uint64_t change = 0;  ///< Of `TargetRecord` that contains it.
+    TimePoint since;
   };
 
   /// A request that ended without an answer while the target ran it.
@@ -271,6 +283,17 @@
   void EndWork(WorkId id);
   bool IsTargetServing() const;
   bool IsNewerReport(const TargetReport& report) const;
+  /// Applies a report. @return why it is ignored, or null.
+  const char* ApplyReport(TargetReport report);
+  /// @return the entry of a target that has left, or null.
+  const DepartedTarget* FindDeparted(const std::string& id) const;
+  /// Records that a target leaves, so that a late report of it is told as such
+  /// after a restart too.
+  void AddDeparted(const std::string& id, uint64_t started_at_ms);
+  /// Confirms a leave only once it is written, since a confirmed leave must
+  /// hold after a restart of the node.
+  void AnswerWhenWritten(const TargetReported& event);
+  void AnswerWrittenReports();
   /// Logs a failed request, and stops using a target that was replaced or
   /// cannot be reached.
   void OnTargetFailure(const Work& work, const TargetResult& result);
@@ -292,8 +315,15 @@
   /// Obtains a lease, writes the record under it, and renews the lease.
   void MaintainNodeRecord();
   void WriteNodeRecord();
+  /// Reads the record at the start, and after a write of unknown outcome, and
+  /// writes changes of it.
+  void MaintainTargetRecord();
+  std::string TargetRecordValue() const;
   void WriteTargetRecord();
   void ReadTargetRecord();
+  void OnTargetRecordRead(const StoreRangeResult& range);
+  /// Uses what the record tells about the time before the start of this node.
+  void ApplyTargetRecord(const wire::TargetRecord& record);
   void RefreshMembers();
   void ReadMembers();
   /// @return whether a member has had no open link for some seconds.
@@ -426,8 +456,21 @@
     std::set<std::string> keys_read;
   } member_reads_;
   bool store_unreachable_ = false;
-  bool target_record_read_ = false;
-  bool target_record_pending_ = false;  ///< The last write failed; retry.
+  /// Record of this host's target in the store.
+  struct TargetRecord {
+    bool read = false;  ///< Was read since the start of this node.
+    bool request_pending = false;
+    bool revision_known = false;
+    int64_t revision = 0;  ///< Of the record in the store; 0: absent.
+    uint64_t change = 0;   ///< Number of changes so far.
+    uint64_t written = 0;  ///< Last change that the store holds.
+    TimePoint next_request_at;
+  } target_record_;
+  /// Targets that have left, oldest first.
+  std::vector<DepartedTarget> departed_;
+  /// The last report before the record was read.
+  std::optional<TargetReport> early_report_;
+  std::vector<UnansweredReport> unanswered_reports_;
 
   bool stopping_ = false;
   TimePoint stopping_since_;
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -129,11 +129,19 @@
   });
 }
 
-void MeshReducer::WriteTargetRecord() {
-  target_record_pending_ = false;
+void MeshReducer::MaintainTargetRecord() {
+  if (target_record_.request_pending || now_ < target_record_.next_request_at)
+    return;
+  if (!target_record_.revision_known)
+    ReadTargetRecord();
+  else if (target_record_.written < target_record_.change)
+    WriteTargetRecord();
+}
+
+std::string MeshReducer::TargetRecordValue() const {
   wire::TargetRecord record;
-  if (!target_.leaving) {
-    const TargetReport& report = target_.report;
+  const TargetReport& report = target_.report;
+  if (!target_.leaving && !report.id.empty()) {
     record.set_id(report.id);
     record.set_service(report.service);
     record.set_address(report.address);
@@ -141,49 +149,117 @@
     record.set_sequence(report.sequence);
     record.set_born(report.started_at_ms);
   }
+  for (const DepartedTarget& departed : departed_) {
+    wire::TargetRecord::Departed* row = record.add_departed();
+    row->set_id(departed.id);
+    row->set_born(departed.started_at_ms);
+  }
+  return record.SerializeAsString();
+}
+
+/// The write names the revision that it replaces, so that an earlier write that
+/// the store carries out late cannot undo it.
+void MeshReducer::WriteTargetRecord() {
+  std::string key = TargetKey(identity_.node);
   StoreTransaction transaction;
-  transaction.puts.push_back(
-      {TargetKey(identity_.node), record.SerializeAsString(), 0});
-  SendStoreRequest(std::move(transaction), [this](const StoreResult& result) {
-    target_record_pending_ =
-        !std::holds_alternative<StoreTransactionResult>(result);
-  });
+  transaction.compares.push_back({key, target_record_.revision});
+  transaction.puts.push_back({key, TargetRecordValue(), 0});
+  target_record_.request_pending = true;
+  uint64_t change = target_record_.change;
+  SendStoreRequest(
+      std::move(transaction), [this, change](const StoreResult& result) {
+        target_record_.request_pending = false;
+        const auto* done = std::get_if<StoreTransactionResult>(&result);
+        const auto* failure = std::get_if<StoreFailure>(&result);
+        if (!done || !done->succeeded) {
+          target_record_.revision_known = failure && !failure->may_have_applied;
+          target_record_.next_request_at =
+              now_ + (failure ? kStoreRetryDelay : milliseconds(0));
+          return;
+        }
+        target_record_.revision = done->revision;
+        target_record_.written = change;
+        AnswerWrittenReports();
+        MaintainTargetRecord();
+      });
 }
 
-/// A target keeps running while its node restarts. Until it reports again, the
-/// node uses the report that it recorded before the restart. If another target
-/// has replaced it since, that one refuses requests that name the old target.
 void MeshReducer::ReadTargetRecord() {
-  target_record_read_ = true;
+  target_record_.request_pending = true;
   SendStoreRequest(
       StoreRange{TargetKey(identity_.node), ""},
       [this](const StoreResult& result) {
-        const auto* range = std::get_if<StoreRangeResult>(&result);
-        wire::TargetRecord record;
-        if (!range || range->entries.empty() || !target_.report.id.empty() ||
-            !record.ParseFromString(range->entries.front().value) ||
-            record.id().empty() ||
-            record.address() != identity_.target_address) {
+        target_record_.request_pending = false;
+        if (const auto* range = std::get_if<StoreRangeResult>(&result)) {
+          OnTargetRecordRead(*range);
           return;
         }
-        TargetReport report;
-        report.id = record.id();
-        report.service = record.service();
-        report.address = record.address();
-        report.slots = record.slots();
-        report.sequence = record.sequence();
-        report.started_at_ms = record.born();
-        target_.report = report;
-        target_.known = true;
-        target_.reported_at = now_;
-        queue_.SetSlots(report.slots);
-        LogLine(LogCode::kTargetChanged, {{"target", report.id},
-                                          {"service", report.service},
-                                          {"state", "as_recorded"}});
-        AdvertiseLoad();
+        target_record_.next_request_at = now_ + kStoreRetryDelay;
       });
 }
 
+void MeshReducer::OnTargetRecordRead(const StoreRangeResult& range) {
+  std::string value;
+  target_record_.revision_known = true;
+  target_record_.revision = 0;
+  if (!range.entries.empty()) {
+    value = range.entries.front().value;
+    target_record_.revision = range.entries.front().mod_revision;
+  }
+  if (!target_record_.read) {
+    wire::TargetRecord record;
+    if (record.ParseFromString(value)) {
+      ApplyTargetRecord(record);
+    } else {
+      LogLine(LogCode::kReportIgnored, {{"target", TargetKey(identity_.node)},
+                                        {"reason", "unreadable_record"}});
+    }
+    target_record_.read = true;
+    if (auto report = std::exchange(early_report_, std::nullopt))
+      Handle(TargetReported{std::move(*report), CallId()});
+  } else if (value == TargetRecordValue()) {
+    // The write whose answer was lost has taken effect.
+    target_record_.written = target_record_.change;
+    AnswerWrittenReports();
+  }
+  MaintainTargetRecord();
+}
+
+/// A target keeps running while its node restarts. Until it reports again, the
+/// node uses the report that it recorded before the restart. If another target
+/// has replaced it since, that one refuses requests that name the old target.
+void MeshReducer::ApplyTargetRecord(const wire::TargetRecord& record) {
+  std::vector<DepartedTarget> later = std::exchange(departed_, {});
+  uint64_t last_start = 0;
+  for (const wire::TargetRecord::Departed& row : record.departed()) {
+    departed_.push_back({row.id(), row.born(), 0});
+    last_start = std::max<uint64_t>(last_start, row.born());
+  }
+  for (const DepartedTarget& departed : later)
+    AddDeparted(departed.id, departed.started_at_ms);
+  if (!target_.report.id.empty())
+    return;
+  // Reports of targets that started earlier are late.
+  target_.report.started_at_ms = last_start;
+  if (record.id().empty() || record.address() != identity_.target_address)
+    return;
+  TargetReport report;
+  report.id = record.id();
+  report.service = record.service();
+  report.address = record.address();
+  report.slots = record.slots();
+  report.sequence = record.sequence();
+  report.started_at_ms = record.born();
+  target_.report = report;
+  target_.known = true;
+  target_.reported_at = now_;
+  queue_.SetSlots(report.slots);
+  LogLine(LogCode::kTargetChanged, {{"target", report.id},
+                                    {"service", report.service},
+                                    {"state", "as_recorded"}});
+  AdvertiseLoad();
+}
+
 void MeshReducer::RefreshMembers() {
   if (member_reads_.reading || now_ < member_reads_.next_read_at)
     return;
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -37,6 +37,9 @@
 constexpr milliseconds kCallFailureWindow = 1500ms;
 /// Maximum number of departed targets whose ids are kept.
 constexpr size_t kMaxDepartedTargets = 64;
+/// Time for which the answer to a report waits for the store. A target takes an
+/// answer after more than a second as no confirmation.
+constexpr milliseconds kReportAnswerTimeout = 850ms;
 
 /// Shortens a list of values by rank: its last value applies to all further
 /// ranks, and an empty list means 0 for all.
@@ -287,9 +290,8 @@
 }
 
 bool MeshReducer::IsNewerReport(const TargetReport& report) const {
-  auto departed = target_.departed.find(report.id);
-  if (departed != target_.departed.end() &&
-      report.started_at_ms <= departed->second)
+  const DepartedTarget* departed = FindDeparted(report.id);
+  if (departed && report.started_at_ms <= departed->started_at_ms)
     return false;
   if (!target_.known)
     return report.started_at_ms >= target_.report.started_at_ms ||
@@ -302,32 +304,59 @@
   return report.sequence > target_.report.sequence || report.leaving;
 }
 
+const MeshReducer::DepartedTarget* MeshReducer::FindDeparted(
+    const std::string& id) const {
+  auto found = std::ranges::find(departed_, id, &DepartedTarget::id);
+  return found == departed_.end() ? nullptr : &*found;
+}
+
+void MeshReducer::AddDeparted(const std::string& id, uint64_t started_at_ms) {
+  std::erase_if(departed_, [&id](const DepartedTarget& departed) {
+    return departed.id == id;
+  });
+  if (departed_.size() >= kMaxDepartedTargets)
+    departed_.erase(departed_.begin());
+  departed_.push_back({id, started_at_ms, ++target_record_.change});
+}
+
 void MeshReducer::Handle(const TargetReported& event) {
+  if (!target_record_.read && !event.report.leaving) {
+    // Only the record tells whether this target has left before a restart of
+    // this node.
+    early_report_ = event.report;
+    if (event.call)
+      effects_.push_back(AnswerReport{event.call});
+    return;
+  }
   TargetReport report = event.report;
   // A leave message may contain only the id.
   if (report.leaving && report.started_at_ms == 0 &&
       report.id == target_.report.id)
     report.started_at_ms = target_.report.started_at_ms;
-  bool known_service =
-      !config_ || report.leaving || config_->services.contains(report.service);
-  bool own_address =
-      report.address.empty() || report.address == identity_.target_address;
-  if (!known_service || !own_address || !IsNewerReport(report)) {
+  if (const char* reason = ApplyReport(report)) {
     LogLine(LogCode::kReportIgnored,
             {{"target", report.id},
-             {"reason", !known_service ? "unknown_service"
-                        : !own_address ? "other_address"
-                                       : "old"},
+             {"reason", reason},
              {"sequence", std::to_string(report.sequence)},
              {"born", std::to_string(report.started_at_ms)}});
-    return;
   }
+  AnswerWhenWritten(event);
+}
+
+const char* MeshReducer::ApplyReport(TargetReport report) {
+  if (config_ && !report.leaving && !config_->services.contains(report.service))
+    return "unknown_service";
+  if (!report.address.empty() && report.address != identity_.target_address)
+    return "other_address";
+  if (!IsNewerReport(report))
+    return "old";
   bool changed = !target_.known || report.id != target_.report.id ||
                  report.started_at_ms != target_.report.started_at_ms;
   if (report.leaving && report.id != target_.report.id && target_.known) {
     // Another target has left; the present one stays in use.
-    target_.departed[report.id] = report.started_at_ms;
-    return;
+    AddDeparted(report.id, report.started_at_ms);
+    MaintainTargetRecord();
+    return nullptr;
   }
   bool was_serving = IsTargetServing();
   bool was_leaving = target_.leaving && !changed;
@@ -349,9 +378,7 @@
   target_.unreachable_until = TimePoint();
   if (target_.report.leaving) {
     target_.leaving = true;
-    target_.departed[report.id] = target_.report.started_at_ms;
-    if (target_.departed.size() > kMaxDepartedTargets)
-      target_.departed.erase(target_.departed.begin());
+    AddDeparted(report.id, target_.report.started_at_ms);
   }
   if (!target_.leaving)
     queue_.SetSlots(target_.report.slots);
@@ -366,9 +393,31 @@
   }
   if (target_.leaving)
     Apply(queue_.RefuseAll());
-  if (changed || target_.leaving != was_leaving)
-    WriteTargetRecord();
+  if (changed)
+    ++target_record_.change;
+  MaintainTargetRecord();
   AdvertiseLoad();
+  return nullptr;
+}
+
+void MeshReducer::AnswerWhenWritten(const TargetReported& event) {
+  if (!event.call)
+    return;
+  const DepartedTarget* departed =
+      event.report.leaving ? FindDeparted(event.report.id) : nullptr;
+  unanswered_reports_.push_back(
+      {event.call, departed ? departed->change : 0, now_});
+  AnswerWrittenReports();
+}
+
+void MeshReducer::AnswerWrittenReports() {
+  std::erase_if(unanswered_reports_, [this](const UnansweredReport& report) {
+    bool written = report.change <= target_record_.written;
+    bool late = now_ - report.since >= kReportAnswerTimeout;
+    if (written || late)
+      effects_.push_back(AnswerReport{report.call, written});
+    return written || late;
+  });
 }
 
 void MeshReducer::CheckTargetSilence() {
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -228,6 +228,11 @@
   exchanges_.erase(found);
 }
 
+void MeshRuntime::Apply(const AnswerReport& effect) {
+  if (report_responder_)
+    report_responder_(effect);
+}
+
 void MeshRuntime::Apply(const CallStore& effect) {
   if (store_)
     store_->Start(effect.call, effect.request, effect.timeout);
--- a/src/mesh/mesh_runtime.h
+++ b/src/mesh/mesh_runtime.h
@@ -2,6 +2,7 @@
 #define COMFREYLOCK_MESH_MESH_RUNTIME_H_
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -52,6 +53,12 @@
     config_decoder_ = std::move(decoder);
   }
 
+  /// @param responder answers a `TargetReported` that has a call; see
+  ///     `AnswerReport`.
+  void SetReportResponder(std::function<void(const AnswerReport&)> responder) {
+    report_responder_ = std::move(responder);
+  }
+
   /// Passes an event to the reducer and carries out the effects. During another
   /// call of this method, the event is queued until that one has finished.
   void Feed(EventBody event);
@@ -87,6 +94,7 @@
   void Apply(const SendForward& effect) { links_.Apply(effect); }
   void Apply(const RunOnTarget& effect);
   void Apply(const AbortOnTarget& effect);
+  void Apply(const AnswerReport& effect);
   void Apply(const CallStore& effect);
   void Apply(const DecodeConfig& effect);
   void Apply(const WriteLogLine& effect);
@@ -99,6 +107,7 @@
   const TargetProtocol& target_protocol_;
   StoreClient* store_ = nullptr;
   ConfigDecoder config_decoder_;
+  std::function<void(const AnswerReport&)> report_responder_;
   std::unique_ptr<MeshReducer> reducer_;
   HttpServer caller_server_;
   HttpClient target_client_;
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -63,8 +63,50 @@
     return config;
   }
 
-  /// Puts version 5 of the configuration in force.
-  void Configure() { Feed(ConfigRead{MakeConfig(5), now_}); }
+  /// Puts version 5 of the configuration in force, and answers the read of the
+  /// target's record: there is none.
+  void Configure() {
+    Feed(ConfigRead{MakeConfig(5), now_});
+    Feed(Tick{});
+    if (auto read = TakeTargetRecordCall())
+      Feed(StoreReplied{read->call, StoreRangeResult()});
+  }
+
+  /// @return the call in progress that reads or writes the target's record,
+  ///     which is removed from `store_calls_`.
+  std::optional<CallStore> TakeTargetRecordCall() {
+    const std::string key = "comfreylock/targets/here";
+    auto found = std::ranges::find_if(store_calls_, [&](const auto& call) {
+      const auto* range = std::get_if<StoreRange>(&call.request);
+      const auto* write = std::get_if<StoreTransaction>(&call.request);
+      return (range && range->key == key) ||
+             (write && write->puts.at(0).key == key);
+    });
+    if (found == store_calls_.end())
+      return std::nullopt;
+    CallStore call = *found;
+    store_calls_.erase(found);
+    return call;
+  }
+
+  /// Answers the read of the target's record with this record.
+  void ReplyWithTargetRecord(const wire::TargetRecord& record,
+                             int64_t revision) {
+    auto read = TakeTargetRecordCall();
+    ASSERT_TRUE(read);
+    StoreRangeResult found;
+    found.entries.push_back({"comfreylock/targets/here",
+                             record.SerializeAsString(), revision, revision});
+    Feed(StoreReplied{read->call, found});
+  }
+
+  static TargetReported LeaveOf(const std::string& id, CallId call) {
+    TargetReported leave;
+    leave.report.id = id;
+    leave.report.leaving = true;
+    leave.call = call;
+    return leave;
+  }
 
   TargetReport MakeReport(const std::string& id,
                           uint64_t started_at_ms,
@@ -571,26 +613,165 @@
 }
 
 TEST_F(MeshReducerTest, RestartedNodeUsesRecordedTarget) {
-  Configure();
+  Feed(ConfigRead{MakeConfig(5), now_});
   Feed(Tick{});
-  auto read =
-      std::ranges::find_if(store_calls_, [](const CallStore& store_call) {
-        const auto* range = std::get_if<StoreRange>(&store_call.request);
-        return range && range->key == "comfreylock/targets/here";
-      });
-  ASSERT_NE(read, store_calls_.end());
   wire::TargetRecord record;
   record.set_id("i1");
   record.set_service("shop");
   record.set_address("here:2");
   record.set_slots(4);
-  StoreRangeResult found;
-  found.entries.push_back(
-      {"comfreylock/targets/here", record.SerializeAsString()});
-  Feed(StoreReplied{read->call, found});
+  ReplyWithTargetRecord(record, 3);
   EXPECT_EQ(All<RunOnTarget>(SendCall("/read/1")).size(), 1u);
 }
 
+// Guards against a target that has left and is used again after a restart of
+// its node, because a report from before the leave arrives late.
+TEST_F(MeshReducerTest, RestartedNodeIgnoresLateReportOfDepartedTarget) {
+  Configure();
+  Feed(TargetReported{MakeReport("i1", 7, 1)});
+  Feed(LeaveOf("i1", CallId{1}));
+  wire::TargetRecord record;
+  for (int i = 0; i < 10; ++i) {
+    auto write = TakeTargetRecordCall();
+    if (!write)
+      break;
+    auto transaction = std::get<StoreTransaction>(write->request);
+    ASSERT_TRUE(record.ParseFromString(transaction.puts[0].value));
+    Feed(StoreReplied{write->call, StoreTransactionResult{true, 5 + i}});
+  }
+  // A release that does not know the departed targets must find no target.
+  EXPECT_EQ(record.id(), "");
+  // The report may arrive before the record was read, or after it.
+  for (bool early : {true, false}) {
+    store_calls_.clear();
+    node_ = std::make_unique<MeshReducer>(identity_, now_);
+    Feed(ConfigRead{MakeConfig(5), now_});
+    Feed(Tick{});
+    if (early)
+      Feed(TargetReported{MakeReport("i1", 7, 30)});
+    EXPECT_TRUE(All<RunOnTarget>(SendCall("/read/1")).empty());
+    ReplyWithTargetRecord(record, 9);
+    if (!early)
+      Feed(TargetReported{MakeReport("i1", 7, 30)});
+    EXPECT_TRUE(All<RunOnTarget>(SendCall("/read/1")).empty()) << early;
+    // Nor is a target used that started before the one that left.
+    Feed(TargetReported{MakeReport("i0", 6, 1)});
+    EXPECT_TRUE(All<RunOnTarget>(SendCall("/read/1")).empty()) << early;
+    Feed(TargetReported{MakeReport("i1", 8, 1)});
+    EXPECT_EQ(All<RunOnTarget>(SendCall("/read/1")).size(), 1u) << early;
+  }
+}
+
+// Guards against a confirmed leave that is lost with the process: the store
+// must hold it before it is confirmed.
+TEST_F(MeshReducerTest, LeaveIsConfirmedOnceWritten) {
+  Configure();
+  Feed(TargetReported{MakeReport("i1", 7, 1)});
+  auto first = TakeTargetRecordCall();
+  ASSERT_TRUE(first);
+  Feed(StoreReplied{first->call, StoreTransactionResult{true, 5}});
+  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
+  // The leave applies at once, and is confirmed when it is written.
+  EXPECT_TRUE(All<RunOnTarget>(SendCall("/read/1")).empty());
+  auto write = TakeTargetRecordCall();
+  ASSERT_TRUE(write);
+  Feed(StoreReplied{write->call, StoreFailure{"status 503", false}});
+  auto late = All<AnswerReport>(Advance(900ms));
+  ASSERT_EQ(late.size(), 1u);
+  EXPECT_FALSE(late[0].confirmed);
+  // The target reports it again.
+  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{2}))).empty());
+  write = TakeTargetRecordCall();
+  ASSERT_TRUE(write);
+  auto confirmed = All<AnswerReport>(
+      Feed(StoreReplied{write->call, StoreTransactionResult{true, 6}}));
+  ASSERT_EQ(confirmed.size(), 1u);
+  EXPECT_EQ(confirmed[0].call, CallId{2});
+  EXPECT_TRUE(confirmed[0].confirmed);
+  // A further copy is confirmed at once, as are ordinary reports.
+  EXPECT_EQ(All<AnswerReport>(Feed(LeaveOf("i1", CallId{3}))).size(), 1u);
+  EXPECT_EQ(
+      All<AnswerReport>(Feed(TargetReported{MakeReport("i2", 8, 1), CallId{4}}))
+          .size(),
+      1u);
+}
+
+// A leave that arrives before the record was read, and one of another target,
+// are written before they are confirmed as well.
+TEST_F(MeshReducerTest, EveryLeaveIsWrittenBeforeItIsConfirmed) {
+  Feed(ConfigRead{MakeConfig(5), now_});
+  Feed(Tick{});
+  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
+  wire::TargetRecord record;
+  record.set_id("i2");
+  record.set_service("shop");
+  record.set_address("here:2");
+  record.set_slots(4);
+  record.set_born(3);
+  ReplyWithTargetRecord(record, 3);
+  for (CallId call : {CallId{1}, CallId{2}}) {
+    auto write = TakeTargetRecordCall();
+    ASSERT_TRUE(write);
+    EXPECT_EQ(
+        All<AnswerReport>(
+            Feed(StoreReplied{write->call, StoreTransactionResult{true, 4}}))
+            .size(),
+        1u);
+    Feed(TargetReported{MakeReport("i3", 9, 1)});
+    auto next = TakeTargetRecordCall();
+    if (next)
+      Feed(StoreReplied{next->call, StoreTransactionResult{true, 5}});
+    if (call == CallId{1}) {
+      TargetReported leave = LeaveOf("i4", CallId{2});
+      leave.report.started_at_ms = 12;
+      EXPECT_TRUE(All<AnswerReport>(Feed(leave)).empty());
+    }
+  }
+}
+
+// A write without an answer may be carried out seconds later. Guards against
+// one that then undoes the record of a leave.
+TEST_F(MeshReducerTest, LateWriteCannotUndoRecordOfLeave) {
+  Configure();
+  Feed(TargetReported{MakeReport("i1", 7, 1)});
+  auto lost = TakeTargetRecordCall();
+  ASSERT_TRUE(lost);
+  auto compares = std::get<StoreTransaction>(lost->request).compares;
+  ASSERT_EQ(compares.size(), 1u);
+  EXPECT_EQ(compares[0].mod_revision, 0);
+  Feed(StoreReplied{lost->call, StoreFailure{"no answer", true}});
+  Feed(LeaveOf("i1", CallId{1}));
+  Advance(500ms);
+  // The outcome is unknown, so that the revision is read first.
+  auto read = TakeTargetRecordCall();
+  ASSERT_TRUE(read);
+  ASSERT_TRUE(std::holds_alternative<StoreRange>(read->request));
+  Feed(StoreReplied{read->call, StoreRangeResult()});
+  auto write = TakeTargetRecordCall();
+  ASSERT_TRUE(write);
+  // Both writes need an absent key, so only one of them can take effect.
+  auto transaction = std::get<StoreTransaction>(write->request);
+  EXPECT_EQ(transaction.compares.at(0).mod_revision, 0);
+  // The lost write took effect first: it is read again and replaced.
+  EXPECT_TRUE(
+      All<AnswerReport>(
+          Feed(StoreReplied{write->call, StoreTransactionResult{false, 8}}))
+          .empty());
+  Advance(100ms);
+  wire::TargetRecord earlier;
+  earlier.set_id("i1");
+  ReplyWithTargetRecord(earlier, 8);
+  write = TakeTargetRecordCall();
+  ASSERT_TRUE(write);
+  transaction = std::get<StoreTransaction>(write->request);
+  EXPECT_EQ(transaction.compares.at(0).mod_revision, 8);
+  EXPECT_EQ(
+      All<AnswerReport>(
+          Feed(StoreReplied{write->call, StoreTransactionResult{true, 9}}))
+          .size(),
+      1u);
+}
+
 // Only a few nodes poll the store; the others rely on their confirmations.
 // Guards against treating a delayed confirmation as recent.
 TEST_F(MeshReducerTest, PeerConfirmationCountsWithItsAge) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -73,6 +73,11 @@
                 Address(number * 5 + 4)),
         client_(context, Address(number * 5 + 2), {}) {
     runtime_.SetStore(&store_);
+    runtime_.SetReportResponder([this](const mesh::AnswerReport& answer) {
+      report_server_.Respond(
+          answer.call,
+          mesh::HttpAnswer{.status = answer.confirmed ? 200 : 503});
+    });
     report_server_.Listen(Address(number * 5 + 4));
     config_source_.Start();
     runtime_.Listen();
@@ -102,8 +107,8 @@
     bool leave = request.request_target.find("Deregister") != std::string::npos;
     std::string id =
         request.request_target.substr(request.request_target.rfind('/') + 1);
-    runtime_.Feed(mesh::TargetReported{ParseReport(id, request.body, leave)});
-    report_server_.Respond(call, {});
+    runtime_.Feed(
+        mesh::TargetReported{ParseReport(id, request.body, leave), call});
   }
 
   mesh::LineLog log_;
@@ -323,6 +328,29 @@
   EXPECT_EQ(hosts_[0]->target().runs().size(), before);
 }
 
+// Guards against a confirmed leave that nobody knows after a restart.
+TEST_F(PlatformTest, LeaveIsConfirmedOnlyWhileItCanBeWritten) {
+  Start(2);
+  int confirmed = 0;
+  hosts_[0]->target().SetObserver(
+      [&](const std::string& event, const mesh::HttpRequest&) {
+        confirmed += event == "left" ? 1 : 0;
+      });
+  store_->SetFailure(503);
+  hosts_[0]->target().Deregister();
+  RunFor(1200ms);
+  EXPECT_EQ(confirmed, 0);
+  store_->SetFailure(0);
+  hosts_[0]->target().Deregister();
+  RunFor(800ms);
+  EXPECT_EQ(confirmed, 1);
+  mesh::wire::TargetRecord record;
+  ASSERT_TRUE(record.ParseFromString(store_->Get("comfreylock/targets/n1")));
+  EXPECT_EQ(record.id(), "");
+  ASSERT_EQ(record.departed_size(), 1);
+  EXPECT_EQ(record.departed(0).id(), "i-1");
+}
+
 TEST_F(PlatformTest, ShedRequestGoesToAnotherTarget) {
   Start(2);
   hosts_[0]->target().SetBehaviour({.sheds = true});
