Refuse records and greetings of nodes without a usable address

Cause: the address was not checked, and opening a link to it threw. The exception has become an error of that link before (InterpretInput); what remained is a member that no link reaches, counts in the division of rates and causes reads of all records every 5 s.

Change: CheckNodeRecord refuses the record and CheckFrame the Hello: IP:PORT, port 1 to 65535, an IP that a link can lead to.

--- a/src/mesh/frame_check.cc
+++ b/src/mesh/frame_check.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "comfreylock/types.h"
+#include "http_io.h"
 
 namespace comfreylock::mesh {
 namespace {
@@ -22,10 +23,27 @@
   Require(std::isfinite(value) && value >= 0, field);
 }
 
+void RequireUsableAddress(const std::string& address) {
+  auto endpoint = ParseEndpoint(address);
+  Require(endpoint.port() != 0 && !endpoint.address().is_unspecified(),
+          "address");
+}
+
 }  // namespace
 
+void CheckNodeRecord(const wire::NodeRecord& record, std::string_view node) {
+  Require(!node.empty() && record.node().node() == node, "node");
+  RequireUsableAddress(record.address());
+}
+
 void CheckFrame(const wire::Frame& frame) {
   switch (frame.body_case()) {
+    case wire::Frame::kHello:
+      Require(!frame.hello().node().empty(), "hello.node");
+      // Earlier releases do not send an address.
+      if (!frame.hello().address().empty())
+        RequireUsableAddress(frame.hello().address());
+      return;
     case wire::Frame::kLoad:
       Require(frame.load().sent_us() <= kMaxSentUs, "load.sent_us");
       return;
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "mesh/frame_check.h"
 #include "mesh/mesh_reducer.h"
+#include "mesh/peer_input.h"
 
 /// Records in the store: of this node, of its target, and of other nodes.
 namespace comfreylock::mesh {
@@ -338,9 +340,15 @@
   if (!key.starts_with(kNodesPrefix))
     return;
   NodeId node(key.substr(kNodesPrefix.size()));
-  if (!record.ParseFromString(entry.value) || record.node().node() != node) {
-    LogLine(LogCode::kReportIgnored,
-            {{"target", std::string(key)}, {"reason", "unreadable_record"}});
+  auto error = InterpretInput([&] {
+    if (!record.ParseFromString(entry.value))
+      throw InputError("not a record");
+    CheckNodeRecord(record, node);
+  });
+  if (error) {
+    LogLine(LogCode::kReportIgnored, {{"target", std::string(key)},
+                                      {"reason", "unreadable_record"},
+                                      {"error", *error}});
     return;
   }
   if (node == identity_.node)
