Let a stopping node finish the answers that it is writing

Cause: a call ended when its answer was handed to the HTTP server, and the exit drops what is still to be written.

Change: Tick tells on how many connections to callers and nodes something is being written; the node exits when there are none, and in any case 0.4 s before it is killed.

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -122,7 +122,11 @@
 };
 
 /// Timer event: drives time-outs and periodic work.
-struct Tick {};
+struct Tick {
+  /// Connections to callers and nodes to which an answer is still being
+  /// written.
+  size_t unfinished_writes = 0;
+};
 
 struct ShutdownRequested {};
 
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -89,6 +89,7 @@
     if (closed_)
       return;
     closed_ = true;
+    SetWriting(false);
     error_code ignored;
     socket_.close(ignored);
     std::vector<CallId> unanswered;
@@ -123,6 +124,12 @@
     deadline_ = Clock::now() + time;
   }
 
+  void SetWriting(bool writing) {
+    if (std::exchange(writing_, writing) == writing)
+      return;
+    server_.unfinished_writes_ += writing ? 1 : -1;
+  }
+
   void AddBodyBytes(size_t bytes) {
     buffered_body_bytes_ += bytes;
     server_.body_bytes_ += bytes;
@@ -343,15 +350,15 @@
       AfterWrite();
       return;
     }
-    writing_ = true;
+    SetWriting(true);
     sent_ = std::exchange(output_, {});
     SetTimeout(kWriteTimeout);
     asio::async_write(
         socket_, asio::buffer(sent_),
         [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          writing_ = false;
           if (closed_)
             return;
+          SetWriting(false);
           if (error) {
             Close();
             return;
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -46,6 +46,8 @@
   void Respond(CallId call, HttpAnswer answer);
 
   size_t connections() const { return connections_.size(); }
+  /// @return connections on which answers are still being written.
+  size_t unfinished_writes() const { return unfinished_writes_; }
   /// @return total size of the bodies of requests in progress.
   size_t body_bytes() const { return body_bytes_; }
 
@@ -63,6 +65,7 @@
   std::unordered_map<CallId, std::weak_ptr<Connection>> calls_;
   uint64_t last_call_ = 0;
   size_t body_bytes_ = 0;
+  size_t unfinished_writes_ = 0;
   bool close_after_answers_ = false;
 };
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -80,6 +80,7 @@
   void Close() {
     if (std::exchange(closed_, true))
       return;
+    SetWriting(false);
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
@@ -118,6 +119,12 @@
     hub_.event_sink_(LinkClosed{id_});
   }
 
+  void SetWriting(bool writing) {
+    if (std::exchange(writing_, writing) == writing)
+      return;
+    hub_.unfinished_writes_ += writing ? 1 : -1;
+  }
+
   /// Frames that are sent in one turn of the event loop share one write.
   void ScheduleFlush() {
     if (flush_scheduled_ || writing_ || !connected_)
@@ -132,15 +139,15 @@
   void Flush() {
     if (closed_ || writing_ || output_.empty())
       return;
-    writing_ = true;
+    SetWriting(true);
     sent_ = std::exchange(output_, {});
     hub_.sent_bytes_ += sent_.size();
     asio::async_write(
         socket_, asio::buffer(sent_),
         [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          writing_ = false;
           if (closed_)
             return;
+          SetWriting(false);
           if (error)
             Fail();
           else
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -34,6 +34,8 @@
   void Apply(const SendFrame& effect);
   void Apply(const SendForward& effect);
 
+  /// @return links on which frames are still being written.
+  size_t unfinished_writes() const { return unfinished_writes_; }
   uint64_t sent_bytes() const { return sent_bytes_; }
   uint64_t received_bytes() const { return received_bytes_; }
 
@@ -49,6 +51,7 @@
   asio::ip::tcp::acceptor acceptor_;
   std::map<LinkId, std::shared_ptr<Connection>> links_;
   uint64_t last_accepted_ = 0;
+  size_t unfinished_writes_ = 0;
   uint64_t sent_bytes_ = 0;
   uint64_t received_bytes_ = 0;
 };
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -96,7 +96,7 @@
   return status;
 }
 
-void MeshReducer::Handle(const Tick& /*event*/) {
+void MeshReducer::Handle(const Tick& event) {
   bool fresh = IsConfigFresh();
   if (config_ && fresh != config_was_fresh_) {
     config_was_fresh_ = fresh;
@@ -125,7 +125,9 @@
   // which the target is reported as not serving.
   reports_not_serving_ = now_ >= ExpectedExitTime() - kStopServingMargin ||
                          now_ - stopping_since_ > kStopAdmissionWindow;
-  bool idle = calls_.empty() && works_.empty() && now_ >= ExpectedExitTime();
+  // Callers may read slowly what was answered before.
+  bool idle = calls_.empty() && works_.empty() &&
+              event.unfinished_writes == 0 && now_ >= ExpectedExitTime();
   if (idle || now_ - stopping_since_ >=
                   identity_.bounds.shutdown_timeout - kConnectionCloseMargin) {
     stopped_ = true;
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -138,7 +138,7 @@
     event_loop_lag_ = std::chrono::duration_cast<milliseconds>(ReadNodeClock() -
                                                                next_tick_at_);
     next_tick_at_ = TimePoint();
-    Feed(Tick{});
+    Feed(Tick{caller_server_.unfinished_writes() + links_.unfinished_writes()});
     log_.Flush();
   });
 }
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -974,6 +974,29 @@
   EXPECT_TRUE(child[0].forward->onward());
 }
 
+// Guards against answers that are cut off because the node exits while callers
+// still read them. The process is killed at the end of the shutdown time, so
+// the node exits shortly before it in any case.
+TEST_F(MeshReducerTest, StoppingNodeWaitsForUnfinishedWrites) {
+  Configure();
+  Feed(ShutdownRequested{});
+  int exits = 0;
+  for (milliseconds passed = 0ms; passed < 5500ms; passed += 100ms) {
+    now_ += 100ms;
+    exits += static_cast<int>(All<Exit>(Feed(Tick{1})).size());
+  }
+  EXPECT_EQ(exits, 0);
+  now_ += 100ms;
+  EXPECT_EQ(All<Exit>(Feed(Tick{1})).size(), 1u);
+  node_ = std::make_unique<MeshReducer>(identity_, now_);
+  Configure();
+  Feed(ShutdownRequested{});
+  now_ += 3000ms;
+  EXPECT_TRUE(All<Exit>(Feed(Tick{1})).empty());
+  now_ += 100ms;
+  EXPECT_EQ(All<Exit>(Feed(Tick{0})).size(), 1u);
+}
+
 TEST_F(MeshReducerTest, StoppingNodeExitsWhenCallersIdle) {
   Configure();
   Feed(ShutdownRequested{});
--- a/tests/mesh/peer_input_test.cc
+++ b/tests/mesh/peer_input_test.cc
@@ -194,6 +194,44 @@
             "HTTP/1.1 200");
 }
 
+// An answer counts as unfinished until its last byte was written, or its reader
+// has gone. Guards against a node that exits between the two.
+TEST(HttpServerTest, UnfinishedWritesLastUntilSlowReaderHasRead) {
+  asio::io_context context;
+  HttpServer* self = nullptr;
+  HttpServer server(context, {[&](CallId call, HttpRequest) {
+                                HttpAnswer answer;
+                                answer.body =
+                                    std::string(16 * 1024 * 1024, 'a');
+                                self->Respond(call, std::move(answer));
+                              },
+                              [](CallId) {}, [] { return CallerLimits(); }});
+  self = &server;
+  server.Listen(Address(0));
+  for (bool reads : {true, false}) {
+    asio::ip::tcp::socket socket(context);
+    socket.connect(ParseEndpoint(Address(0)));
+    asio::write(socket,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    context.restart();
+    context.run_for(200ms);
+    EXPECT_EQ(server.unfinished_writes(), 1u);
+    std::string answer;
+    if (reads) {
+      asio::async_read(socket, asio::dynamic_buffer(answer),
+                       asio::transfer_exactly(16 * 1024 * 1024),
+                       [](error_code, size_t) {});
+    } else {
+      socket.close();
+    }
+    for (int i = 0; i < 300 && server.unfinished_writes() > 0; ++i) {
+      context.restart();
+      context.run_for(10ms);
+    }
+    EXPECT_EQ(server.unfinished_writes(), 0u) << reads;
+  }
+}
+
 /// @return the bytes of a frame with its length prefix.
 std::string FrameBytes(const std::string& content) {
   std::string bytes;
