--- a/tests/mesh/peer_input_test.cc
+++ b/tests/mesh/peer_input_test.cc
@@ -290,6 +290,28 @@
   EXPECT_EQ(frames, 0);
 }
 
+// Guards against a header that is not UTF-8 and closes the link between two
+// nodes, with all requests in progress on it.
+TEST(PeerInputTest, BytesOfCallersAndTargetsPassLinksUnchanged) {
+  std::string bytes = "caf\xe9 \xff";
+  wire::Frame request;
+  request.mutable_forward()->set_request_id(bytes);
+  request.mutable_forward()->set_method(bytes);
+  request.mutable_forward()->set_path("/" + bytes);
+  wire::Field* field = request.mutable_forward()->add_fields();
+  field->set_name(bytes);
+  field->set_value(bytes);
+  wire::Frame answer;
+  answer.mutable_outcome()->set_status(200);
+  answer.mutable_outcome()->set_status_text(bytes);
+  *answer.mutable_outcome()->add_fields() = *field;
+  for (const wire::Frame& frame : {request, answer}) {
+    wire::Frame received;
+    EXPECT_TRUE(received.ParseFromString(frame.SerializeAsString()));
+    EXPECT_EQ(received.SerializeAsString(), frame.SerializeAsString());
+  }
+}
+
 // Guards against an exception of the handler of a frame.
 TEST(PeerInputTest, ErrorOfFrameHandlerClosesItsLinkOnly) {
   asio::io_context context;
