--- a/tests/platform/answer_test.cc
+++ b/tests/platform/answer_test.cc
@@ -163,9 +163,8 @@
 // Guards against a success that is made up from part of a head: the target
 // breaks off its answer within the head and closes the connection.
 TEST_F(AnswerTest, HeadCutAtAnyByteIsNoAnswer) {
-  for (const std::string& framing :
-       {"Content-Length: 6", "Transfer-Encoding: chunked", "Connection: close",
-        "Content-Length: 0"}) {
+  for (const char* framing : {"Content-Length: 6", "Transfer-Encoding: chunked",
+                              "Connection: close", "Content-Length: 0"}) {
     std::string head = Head("r2", framing);
     for (size_t cut = 0; cut < head.size(); ++cut) {
       target_.SetAnswers({Whole("r1"), head.substr(0, cut)});
