End the read of a test before its buffer goes out of scope

Cause: the test's own read was still pending when its buffer was destroyed, as the server had written all while the last bytes were unread.

--- a/tests/mesh/peer_input_test.cc
+++ b/tests/mesh/peer_input_test.cc
@@ -217,17 +217,20 @@
     context.run_for(200ms);
     EXPECT_EQ(server.unfinished_writes(), 1u);
     std::string answer;
+    bool read = !reads;
     if (reads) {
       asio::async_read(socket, asio::dynamic_buffer(answer),
                        asio::transfer_exactly(16 * 1024 * 1024),
-                       [](error_code, size_t) {});
+                       [&](error_code, size_t) { read = true; });
     } else {
       socket.close();
     }
-    for (int i = 0; i < 300 && server.unfinished_writes() > 0; ++i) {
+    // The read refers to `answer`, so it must have ended before the next round.
+    for (int i = 0; i < 300 && (server.unfinished_writes() > 0 || !read); ++i) {
       context.restart();
       context.run_for(10ms);
     }
+    ASSERT_TRUE(read);
     EXPECT_EQ(server.unfinished_writes(), 0u) << reads;
   }
 }
