Take an unreadable entry of the store as an error where it is the answer

A read or a poll of the configuration whose entry cannot be read counted as unchanged, and so as proof that it is the newest, since: that entry got revision 0.

--- a/tests/platform/answer_test.cc
+++ b/tests/platform/answer_test.cc
@@ -10,6 +10,7 @@
 #include "mesh/http_client.h"
 #include "mesh/socket_options.h"
 #include "platform/codec.h"
+#include "platform/store_client.h"
 
 /// What a target's node makes of answers that are broken off, or that arrive
 /// once more on a connection that is in use again; over real sockets.
@@ -194,6 +195,53 @@
   }
 }
 
+// Guards against an unreadable answer of the store that counts as proof that
+// the configuration is unchanged, and against a list that one entry hides.
+TEST(StoreAnswerTest, UnreadableEntryIsAnErrorOfThatEntry) {
+  boost::asio::io_context context;
+  ScriptedTarget server(context);
+  KvStoreClient store(
+      context, server.address(), [] { return TimePoint(); },
+      [](StoreRequestId, StoreResult) {});
+  auto call = [&](const StoreRequest& request, const std::string& body) {
+    server.SetAnswers({"HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body});
+    std::optional<StoreResult> result;
+    store.Call(request, 1000ms,
+               [&](StoreResult read) { result = std::move(read); });
+    for (int i = 0; i < 300 && !result; ++i) {
+      context.restart();
+      context.run_for(10ms);
+    }
+    return result.value_or(StoreFailure{"no result"});
+  };
+  StoreWatch watch;
+  watch.key = "k";
+  watch.once = true;
+  for (const char* entry :
+       {R"({"key": "k", "value": "YQ==", "revision": "1"})",
+        R"({"key": "k", "value": "YQ==", "revision": 1e30})",
+        R"({"key": "k", "value": "YQ==", "revision": -1})",
+        R"({"key": "k", "value": 1, "revision": 1})", R"({"key": []})"}) {
+    std::string text = entry;
+    EXPECT_TRUE(
+        std::holds_alternative<StoreFailure>(call(StoreRange{"k", ""}, text)))
+        << entry;
+    EXPECT_TRUE(std::holds_alternative<StoreFailure>(
+        call(watch, R"({"as_of": 2, "events": [)" + text + "]}")))
+        << entry;
+    StoreResult list =
+        call(StoreRange{"a", "b"},
+             R"({"as_of": 2, "items": [)" + text +
+                 R"(, {"key": "ok", "value": "YQ==", "revision": 2}]})");
+    const auto* range = std::get_if<StoreRangeResult>(&list);
+    ASSERT_TRUE(range) << entry;
+    ASSERT_EQ(range->entries.size(), 2u);
+    EXPECT_EQ(range->entries[0].value, "") << entry;
+    EXPECT_EQ(range->entries[1].value, "a") << entry;
+  }
+}
+
 // Guards against wrong bytes in a trailer that count as fields of the answer.
 TEST_F(AnswerTest, TrailerFieldsAreNotFieldsOfTheAnswer) {
   target_.SetAnswers({Head("r1", "Transfer-Encoding: chunked") +
