Name the reply to a target's report ReplyToReport

The effect AnswerReport of the mesh had the name of a message of the core, which is a load report (docs/glossary.md).

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -105,7 +105,7 @@
 
 struct TargetReported {
   TargetReport report;
-  /// Answered with `AnswerReport`; 0 if nobody waits for an answer.
+  /// Answered with `ReplyToReport`; 0 if nobody waits for an answer.
   CallId call;
 };
 
@@ -198,7 +198,7 @@
 };
 
 /// Answers a report of the target.
-struct AnswerReport {
+struct ReplyToReport {
   CallId call;
   /// False: what the target announced could not be written to the store in
   /// time, so that it has to report it again.
@@ -236,7 +236,7 @@
                             SendForward,
                             RunOnTarget,
                             AbortOnTarget,
-                            AnswerReport,
+                            ReplyToReport,
                             CallStore,
                             DecodeConfig,
                             WriteLogLine,
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -325,7 +325,7 @@
     // this node.
     early_report_ = event.report;
     if (event.call)
-      effects_.push_back(AnswerReport{event.call});
+      effects_.push_back(ReplyToReport{event.call});
     return;
   }
   TargetReport report = event.report;
@@ -415,7 +415,7 @@
     bool written = report.change <= target_record_.written;
     bool late = now_ - report.since >= kReportAnswerTimeout;
     if (written || late)
-      effects_.push_back(AnswerReport{report.call, written});
+      effects_.push_back(ReplyToReport{report.call, written});
     return written || late;
   });
 }
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -228,7 +228,7 @@
   exchanges_.erase(found);
 }
 
-void MeshRuntime::Apply(const AnswerReport& effect) {
+void MeshRuntime::Apply(const ReplyToReport& effect) {
   if (report_responder_)
     report_responder_(effect);
 }
--- a/src/mesh/mesh_runtime.h
+++ b/src/mesh/mesh_runtime.h
@@ -54,8 +54,8 @@
   }
 
   /// @param responder answers a `TargetReported` that has a call; see
-  ///     `AnswerReport`.
-  void SetReportResponder(std::function<void(const AnswerReport&)> responder) {
+  ///     `ReplyToReport`.
+  void SetReportResponder(std::function<void(const ReplyToReport&)> responder) {
     report_responder_ = std::move(responder);
   }
 
@@ -94,7 +94,7 @@
   void Apply(const SendForward& effect) { links_.Apply(effect); }
   void Apply(const RunOnTarget& effect);
   void Apply(const AbortOnTarget& effect);
-  void Apply(const AnswerReport& effect);
+  void Apply(const ReplyToReport& effect);
   void Apply(const CallStore& effect);
   void Apply(const DecodeConfig& effect);
   void Apply(const WriteLogLine& effect);
@@ -107,7 +107,7 @@
   const TargetProtocol& target_protocol_;
   StoreClient* store_ = nullptr;
   ConfigDecoder config_decoder_;
-  std::function<void(const AnswerReport&)> report_responder_;
+  std::function<void(const ReplyToReport&)> report_responder_;
   std::unique_ptr<MeshReducer> reducer_;
   HttpServer caller_server_;
   HttpClient target_client_;
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -737,30 +737,30 @@
   auto first = TakeTargetRecordCall();
   ASSERT_TRUE(first);
   Feed(StoreReplied{first->call, StoreTransactionResult{true, 5}});
-  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
+  EXPECT_TRUE(All<ReplyToReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
   // The leave applies at once, and is confirmed when it is written.
   EXPECT_TRUE(All<RunOnTarget>(SendCall("/read/1")).empty());
   auto write = TakeTargetRecordCall();
   ASSERT_TRUE(write);
   Feed(StoreReplied{write->call, StoreFailure{"status 503", false}});
-  auto late = All<AnswerReport>(Advance(900ms));
+  auto late = All<ReplyToReport>(Advance(900ms));
   ASSERT_EQ(late.size(), 1u);
   EXPECT_FALSE(late[0].confirmed);
   // The target reports it again.
-  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{2}))).empty());
+  EXPECT_TRUE(All<ReplyToReport>(Feed(LeaveOf("i1", CallId{2}))).empty());
   write = TakeTargetRecordCall();
   ASSERT_TRUE(write);
-  auto confirmed = All<AnswerReport>(
+  auto confirmed = All<ReplyToReport>(
       Feed(StoreReplied{write->call, StoreTransactionResult{true, 6}}));
   ASSERT_EQ(confirmed.size(), 1u);
   EXPECT_EQ(confirmed[0].call, CallId{2});
   EXPECT_TRUE(confirmed[0].confirmed);
   // A further copy is confirmed at once, as are ordinary reports.
-  EXPECT_EQ(All<AnswerReport>(Feed(LeaveOf("i1", CallId{3}))).size(), 1u);
-  EXPECT_EQ(
-      All<AnswerReport>(Feed(TargetReported{MakeReport("i2", 8, 1), CallId{4}}))
-          .size(),
-      1u);
+  EXPECT_EQ(All<ReplyToReport>(Feed(LeaveOf("i1", CallId{3}))).size(), 1u);
+  EXPECT_EQ(All<ReplyToReport>(
+                Feed(TargetReported{MakeReport("i2", 8, 1), CallId{4}}))
+                .size(),
+            1u);
 }
 
 // A leave that arrives before the record was read, and one of another target,
@@ -768,7 +768,7 @@
 TEST_F(MeshReducerTest, EveryLeaveIsWrittenBeforeItIsConfirmed) {
   Feed(ConfigRead{MakeConfig(5), now_});
   Feed(Tick{});
-  EXPECT_TRUE(All<AnswerReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
+  EXPECT_TRUE(All<ReplyToReport>(Feed(LeaveOf("i1", CallId{1}))).empty());
   wire::TargetRecord record;
   record.set_id("i2");
   record.set_service("shop");
@@ -780,7 +780,7 @@
     auto write = TakeTargetRecordCall();
     ASSERT_TRUE(write);
     EXPECT_EQ(
-        All<AnswerReport>(
+        All<ReplyToReport>(
             Feed(StoreReplied{write->call, StoreTransactionResult{true, 4}}))
             .size(),
         1u);
@@ -791,7 +791,7 @@
     if (call == CallId{1}) {
       TargetReported leave = LeaveOf("i4", CallId{2});
       leave.report.started_at_ms = 12;
-      EXPECT_TRUE(All<AnswerReport>(Feed(leave)).empty());
+      EXPECT_TRUE(All<ReplyToReport>(Feed(leave)).empty());
     }
   }
 }
@@ -821,7 +821,7 @@
   EXPECT_EQ(transaction.compares.at(0).mod_revision, 0);
   // The lost write took effect first: it is read again and replaced.
   EXPECT_TRUE(
-      All<AnswerReport>(
+      All<ReplyToReport>(
           Feed(StoreReplied{write->call, StoreTransactionResult{false, 8}}))
           .empty());
   Advance(100ms);
@@ -833,7 +833,7 @@
   transaction = std::get<StoreTransaction>(write->request);
   EXPECT_EQ(transaction.compares.at(0).mod_revision, 8);
   EXPECT_EQ(
-      All<AnswerReport>(
+      All<ReplyToReport>(
           Feed(StoreReplied{write->call, StoreTransactionResult{true, 9}}))
           .size(),
       1u);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -63,7 +63,7 @@
         config_source_(context, store_, runtime_),
         report_server_(context,
                        {[this](CallId call, mesh::HttpRequest request) {
-                          AnswerReport(call, request);
+                          ReplyToReport(call, request);
                         },
                         [](CallId) {}, [] { return mesh::CallerLimits(); }}),
         target_(context,
@@ -73,7 +73,7 @@
                 Address(number * 5 + 4)),
         client_(context, Address(number * 5 + 2), {}) {
     runtime_.SetStore(&store_);
-    runtime_.SetReportResponder([this](const mesh::AnswerReport& answer) {
+    runtime_.SetReportResponder([this](const mesh::ReplyToReport& answer) {
       report_server_.Respond(
           answer.call,
           mesh::HttpAnswer{.status = answer.confirmed ? 200 : 503});
@@ -103,7 +103,7 @@
     return {identity, Address(number * 5 + 2)};
   }
 
-  void AnswerReport(CallId call, const mesh::HttpRequest& request) {
+  void ReplyToReport(CallId call, const mesh::HttpRequest& request) {
     bool leave = request.request_target.find("Deregister") != std::string::npos;
     std::string id =
         request.request_target.substr(request.request_target.rfind('/') + 1);
