Remove members at whose address another node answers

A node that knew one that had left for good, whose address another node had taken, opened a link to it on every tick: the link counted as open before the name in the Hello was compared, and the end of an open link is followed by an attempt at once. Each time the member also counted as just linked, so it was never removed, although its record had expired.

- A link whose Hello names another node never counts as open.
The member is removed and not added again by the same record for 30 s, or until a newer record or a Hello of it arrives.
- A link that was open for less than 1 s does not reset the delay before the next attempt.
A Hello resets it at most every 2 s, unless it names a new incarnation.
- A node that opens link after link gets a load report at once at most every 200 ms.
- Configurations handed on are limited to 64 and 1 MB in 200 ms.
- A target that fails is advertised as not serving at once.
- link_lost gives the reason closed, silent, wrong_peer, refused (once until a link opens) or replaced, and metrics count links by reason.

--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -84,6 +84,12 @@
   status.calls = calls_.size();
   status.members = members_.size();
   status.links = links_.size();
+  status.gone_members = gone_members_.size();
+  status.links_opened = links_opened_;
+  status.links_accepted = links_accepted_;
+  status.links_lost = links_lost_;
+  status.configs_sent = configs_sent_.total;
+  status.configs_withheld = configs_sent_.withheld;
   for (uint32_t i = 0; i < kRankCount; ++i)
     status.failed_calls_permille[i] = call_failures_.FailurePermille(i, now);
   status.stopping = stopping_;
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -61,6 +62,19 @@
                                              : identity.advertised_address;
 }
 
+/// Why a connection that this node opened to another one ended.
+enum class LinkEnd {
+  kSilent,     ///< Nothing was received on it for too long.
+  kClosed,     ///< The connection ended.
+  kWrongPeer,  ///< Another node answers at the address.
+  kRefused,    ///< It could not be made.
+  kReplaced,   ///< The node was started again or has another address.
+};
+inline constexpr size_t kLinkEndCount = 5;
+
+/// @return the value of `reason` in log lines and metrics.
+std::string_view NameOf(LinkEnd end);
+
 /// State for the readiness check and the metrics.
 struct NodeStatus {
   uint64_t config_version = 0;
@@ -71,6 +85,17 @@
   size_t calls = 0;
   size_t members = 0;
   size_t links = 0;
+  /// Members removed because another node answers at their address, of which
+  /// old records are ignored.
+  size_t gone_members = 0;
+  uint64_t links_opened = 0;  ///< By this node, since its start.
+  uint64_t links_accepted = 0;
+  /// Links of this node that ended since its start, indexed by `LinkEnd`.
+  std::array<uint64_t, kLinkEndCount> links_lost{};
+  uint64_t configs_sent = 0;  ///< Configurations handed on to other nodes.
+  /// Requests of other nodes for the configuration that were not answered,
+  /// because the limit of configurations handed on was reached.
+  uint64_t configs_withheld = 0;
   /// Fraction of the target's onward calls that were refused because of
   /// overload, in thousandths, indexed by the rank of the request that made
   /// them.
@@ -149,6 +174,7 @@
     uint64_t incarnation = 0;  ///< Of the peer; 0 before its Hello.
     bool accepted = false;
     bool open = false;
+    TimePoint opened_at;
     TimePoint last_load_sent_at;  ///< Last time this node sent its load.
     TimePoint last_received_at;   ///< Last frame from the peer.
     /// Last request in either direction, or last outcome from the peer.
@@ -171,6 +197,22 @@
     TimePoint linked_at;      ///< When the link was last open, or it joined.
     TimePoint next_connect_at;
     std::chrono::milliseconds backoff{0};
+    bool refusal_logged = false;  ///< Since the last open link.
+  };
+
+  /// What this node did because of recent Hellos of another one that opened
+  /// links. Kept apart from `Member`, which may be removed between two of them.
+  struct Greeting {
+    uint64_t incarnation = 0;
+    TimePoint load_sent_at;      ///< As the first frame of a link.
+    TimePoint backoff_reset_at;  ///< When it was connected to without delay.
+  };
+
+  /// A former member at whose address another node answers.
+  struct GoneMember {
+    uint64_t incarnation = 0;
+    std::string address;
+    TimePoint since;
   };
 
   /// The target beside this node.
@@ -336,12 +378,20 @@
   /// member while a link to it is open, and some seconds longer.
   void OnRecordMissing(const NodeId& node);
   void RemoveMember(const NodeId& node);
+  /// @return whether `record` says no more of a node than was known when
+  ///     another node answered at its address. If it says more, the node is no
+  ///     longer taken as gone.
+  bool IsRecordOfGoneMember(const NodeId& node, const wire::NodeRecord& record);
 
   // Other nodes (mesh_reducer_fleet.cc).
   void ConnectMembers();
   /// Closes links on which nothing was received for too long.
   void CloseSilentLinks();
-  void CloseLinkOf(LinkId id);
+  void CloseLinkOf(LinkId id, LinkEnd end);
+  /// Handles the end of a link: its calls and works, and when to connect again.
+  void OnLinkEnded(LinkId id, LinkEnd end);
+  /// Removes the member that a link was opened to, because `peer` answered.
+  void OnWrongPeer(LinkId id, const wire::Hello& peer);
   size_t NodeCount() const { return members_.size() + 1; }
   /// @return the largest number of nodes in the retention window. A node that
   ///     this one has lost may still admit and retry requests.
@@ -350,6 +400,9 @@
   /// Requests the newer configuration that the peer on `link` has.
   void RequestConfig(const Link& link);
   void OnConfigWanted(LinkId link, const wire::ConfigWanted& wanted);
+  /// @return whether the configuration may be handed on to one more node in
+  ///     this interval.
+  bool TakeConfigAllowance();
   /// Adds a node that opened a link before its record was read.
   void AddPeer(const wire::Hello& peer);
   /// @return whether this node is one of the few that poll the store for the
@@ -429,6 +482,19 @@
 
   std::map<LinkId, Link> links_;
   std::map<NodeId, Member> members_;
+  std::map<NodeId, GoneMember> gone_members_;
+  std::map<NodeId, Greeting> greetings_;  ///< Of the last seconds.
+  uint64_t links_opened_ = 0;
+  uint64_t links_accepted_ = 0;
+  std::array<uint64_t, kLinkEndCount> links_lost_{};
+  /// Configurations handed on in the interval that began at `since`.
+  struct ConfigsSent {
+    TimePoint since;
+    uint32_t count = 0;
+    size_t bytes = 0;
+    uint64_t total = 0;
+    uint64_t withheld = 0;
+  } configs_sent_;
   size_t fleet_size_ = 1;
   /// Last time that the fleet had at least `fleet_size_` nodes.
   TimePoint fleet_size_seen_at_;
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -13,6 +13,23 @@
 /// Bounds of the delay between attempts to connect to a node.
 constexpr milliseconds kInitialBackoffDelay = 200ms;
 constexpr milliseconds kMaxBackoffDelay = 2000ms;
+/// A link that was open for less time does not count as a success: the delay
+/// before the next attempt grows as after a refused connection. Without this, a
+/// peer that accepts and closes is connected to on every tick.
+constexpr milliseconds kMinStableLinkTime = 1000ms;
+/// Minimum time between two resets of the delay by a Hello of the same
+/// incarnation of a node, so that a node that opens link after link does not
+/// cause as many links back.
+constexpr milliseconds kMinBackoffResetInterval = kMaxBackoffDelay;
+/// Minimum time between two loads that are sent to a node because it has opened
+/// a link; later ones wait until the load is due on the link.
+constexpr milliseconds kMinGreetingInterval = 200ms;
+static_assert(kMinGreetingInterval <= kMinBackoffResetInterval);
+/// Time for which the record of a node at whose address another one answers is
+/// ignored. It exceeds the lease of a record (9 s) and the age of a
+/// serializable read (some seconds), so that a record that is still there
+/// afterwards belongs to a node that renews its lease.
+constexpr std::chrono::seconds kGoneMemberRetention{30};
 /// A link with requests in progress (busy) or without (idle) is closed if
 /// nothing was received on it for this time. The peer sends its load five times
 /// a second on busy links and once a second on others.
@@ -35,6 +52,12 @@
 constexpr milliseconds kConfirmationMargin = 150ms;
 /// Minimum time between requests to other nodes for their configuration.
 constexpr milliseconds kConfigRequestInterval = 200ms;
+/// Configurations handed on in one `kConfigRequestInterval`, in number and
+/// bytes: 5 MB/s are a fifth of a host's network link. The other nodes that
+/// have the configuration serve the rest, so that it reaches 20,000 nodes in
+/// three intervals. One is always allowed, whatever its size.
+constexpr uint32_t kMaxConfigsPerInterval = 64;
+constexpr size_t kMaxConfigBytesPerInterval = 1'000'000;
 /// Number of nodes for each further rate allocator.
 constexpr size_t kNodesPerAllocator = 16;
 /// Time for which a lost node still counts when rates and retries are divided:
@@ -53,9 +76,33 @@
 
 }  // namespace
 
+std::string_view NameOf(LinkEnd end) {
+  switch (end) {
+    case LinkEnd::kSilent:
+      return "silent";
+    case LinkEnd::kClosed:
+      return "closed";
+    case LinkEnd::kWrongPeer:
+      return "wrong_peer";
+    case LinkEnd::kRefused:
+      return "refused";
+    case LinkEnd::kReplaced:
+      return "replaced";
+  }
+  return "";
+}
+
 void MeshReducer::ConnectMembers() {
   if (stopped_)
     return;
+  std::erase_if(gone_members_, [this](const auto& item) {
+    return now_ - item.second.since >= kGoneMemberRetention;
+  });
+  std::erase_if(greetings_, [this](const auto& item) {
+    const Greeting& greeting = item.second;
+    return now_ - std::max(greeting.load_sent_at, greeting.backoff_reset_at) >=
+           kMinBackoffResetInterval;
+  });
   for (auto& [node, member] : members_) {
     if (member.link || now_ < member.next_connect_at)
       continue;
@@ -80,72 +127,115 @@
     if (!link.accepted && link.open && now_ - link.last_received_at > limit)
       silent.push_back(id);
   }
-  for (LinkId id : silent) {
-    LogLine(LogCode::kLinkLost,
-            {{"peer", links_.at(id).node}, {"reason", "silent"}});
-    CloseLinkOf(id);
-  }
+  for (LinkId id : silent)
+    CloseLinkOf(id, LinkEnd::kSilent);
 }
 
-void MeshReducer::CloseLinkOf(LinkId id) {
+void MeshReducer::CloseLinkOf(LinkId id, LinkEnd end) {
   effects_.push_back(CloseLink{id});
-  Handle(LinkClosed{id});
+  OnLinkEnded(id, end);
 }
 
 void MeshReducer::Handle(const LinkOpened& event) {
+  if (!event.accepted && !links_.contains(event.link)) {
+    effects_.push_back(CloseLink{event.link});
+    return;
+  }
   Link& link = links_[event.link];
   link.id = event.link;
   link.incarnation = event.peer.boot();
   link.accepted = event.accepted;
-  link.open = true;
   link.last_received_at = now_;
+  link.opened_at = now_;
   if (event.accepted) {
+    link.open = true;
     link.node = event.peer.node();
+    ++links_accepted_;
     AddPeer(event.peer);
-    // Sends the load at once, so that the peer knows the target's capacity.
+    Greeting& greeting = greetings_[link.node];
+    if (now_ - greeting.load_sent_at < kMinGreetingInterval) {
+      link.last_load_sent_at = greeting.load_sent_at;
+      return;
+    }
+    greeting.load_sent_at = now_;
     link.last_load_sent_at = now_;
+    // Sends the load at once, so that the peer knows the target's capacity.
     auto frame = std::make_shared<wire::Frame>();
     *frame->mutable_load() = LocalLoad();
     Send(event.link, std::move(frame));
     return;
   }
   auto member = members_.find(link.node);
-  if (member == members_.end() || member->second.link != event.link ||
-      event.peer.node() != link.node) {
-    CloseLinkOf(event.link);
+  if (member == members_.end() || member->second.link != event.link) {
+    CloseLinkOf(event.link, LinkEnd::kReplaced);
+    return;
+  }
+  if (event.peer.node() != link.node) {
+    OnWrongPeer(event.link, event.peer);
     return;
   }
-  member->second.backoff = kInitialBackoffDelay;
+  link.open = true;
+  member->second.refusal_logged = false;
+  ++links_opened_;
   LogLine(LogCode::kLinkOpened, {{"peer", link.node}});
 }
 
+/// The store's record of the former member may exist for some seconds more, and
+/// reads of it for longer, so it is remembered which record to ignore.
+void MeshReducer::OnWrongPeer(LinkId id, const wire::Hello& peer) {
+  NodeId node = links_.at(id).node;
+  const wire::NodeRecord& record = members_.at(node).record;
+  gone_members_[node] = {record.node().boot(), record.address(), now_};
+  CloseLinkOf(id, LinkEnd::kWrongPeer);
+  RemoveMember(node);
+  AddPeer(peer);
+}
+
 void MeshReducer::Handle(const LinkClosed& event) {
-  auto found = links_.find(event.link);
+  auto link = links_.find(event.link);
+  if (link == links_.end())
+    return;
+  OnLinkEnded(event.link,
+              link->second.open ? LinkEnd::kClosed : LinkEnd::kRefused);
+}
+
+void MeshReducer::OnLinkEnded(LinkId id, LinkEnd end) {
+  auto found = links_.find(id);
   if (found == links_.end())
     return;
   Link link = std::move(found->second);
   links_.erase(found);
   auto member = members_.find(link.node);
-  if (!link.accepted && member != members_.end() &&
-      member->second.link == link.id) {
+  bool current = !link.accepted && member != members_.end() &&
+                 member->second.link == link.id;
+  bool log = end != LinkEnd::kRefused;
+  if (current) {
     Member& state = member->second;
     state.link = LinkId();
+    bool stable = link.open && now_ - link.opened_at >= kMinStableLinkTime;
+    if (stable)
+      state.backoff = kInitialBackoffDelay;
     state.backoff = state.backoff.count() == 0
                         ? kInitialBackoffDelay
                         : std::min(state.backoff * 2, kMaxBackoffDelay);
-    state.next_connect_at = now_ + state.backoff;
+    state.next_connect_at = stable ? now_ : now_ + state.backoff;
     target_selector_.SetUnreachable(link.node);
-    if (link.open) {
+    if (link.open)
       state.linked_at = now_;
-      state.next_connect_at = now_;
+    // A node that does not answer is logged once, not at every attempt.
+    log = log || !std::exchange(state.refusal_logged, true);
+  }
+  if (!link.accepted) {
+    ++links_lost_[static_cast<size_t>(end)];
+    if (log) {
       LogLine(LogCode::kLinkLost,
               {{"peer", link.node},
-               {"reason", "closed"},
+               {"reason", std::string(NameOf(end))},
                {"calls", std::to_string(link.calls.size())}});
     }
-    if (!state.has_record)
-      RemoveMember(link.node);
   }
+  if (current && !member->second.has_record)
+    RemoveMember(link.node);
   for (const auto& [stream, id] : link.calls) {
     auto call = calls_.find(id);
     if (call == calls_.end() || call->second.stream != stream)
@@ -237,11 +327,32 @@
   wire::NodeRecord record;
   *record.mutable_node() = peer;
   record.set_address(peer.address());
+  // The node is running. If another one answered at its address shortly before,
+  // this is tried again only after a delay or if the Hello tells more.
+  auto gone = gone_members_.find(peer.node());
+  if (gone != gone_members_.end()) {
+    if (now_ - gone->second.since < kMinBackoffResetInterval &&
+        IsRecordOfGoneMember(peer.node(), record)) {
+      return;
+    }
+    gone_members_.erase(peer.node());
+  }
+  Greeting& greeting = greetings_[peer.node()];
+  bool restarted = peer.boot() > greeting.incarnation;
+  greeting.incarnation = std::max(greeting.incarnation, peer.boot());
+  bool due =
+      restarted || now_ - greeting.backoff_reset_at >= kMinBackoffResetInterval;
+  // A member without a record is removed when it refuses a connection.
+  if (!due && !members_.contains(peer.node()))
+    return;
   auto [found, added] = members_.try_emplace(peer.node());
-  found->second.linked_at = now_;
-  // The node is running, so it is connected to without further delay.
-  found->second.next_connect_at = now_;
-  found->second.backoff = milliseconds(0);
+  Member& member = found->second;
+  member.linked_at = now_;
+  if (due) {
+    greeting.backoff_reset_at = now_;
+    member.next_connect_at = now_;
+    member.backoff = milliseconds(0);
+  }
   ApplyNodeRecord(peer.node(), record);
   if (!added)
     return;
@@ -266,12 +377,33 @@
       config_->text.empty()) {
     return;
   }
+  if (!TakeConfigAllowance())
+    return;
   auto frame = std::make_shared<wire::Frame>();
   frame->mutable_config_text()->set_version(config_->version);
   frame->mutable_config_text()->set_text(config_->text);
   Send(link, std::move(frame));
 }
 
+bool MeshReducer::TakeConfigAllowance() {
+  ConfigsSent& sent = configs_sent_;
+  if (now_ - sent.since >= kConfigRequestInterval) {
+    sent.since = now_;
+    sent.count = 0;
+    sent.bytes = 0;
+  }
+  size_t bytes = sent.bytes + config_->text.size();
+  if (sent.count > 0 && (sent.count >= kMaxConfigsPerInterval ||
+                         bytes > kMaxConfigBytesPerInterval)) {
+    ++sent.withheld;
+    return false;
+  }
+  ++sent.count;
+  sent.bytes = bytes;
+  ++sent.total;
+  return true;
+}
+
 void MeshReducer::UpdateLoad(Link& link, const wire::Load& load) {
   auto member = members_.find(link.node);
   if (link.accepted || member == members_.end())
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -351,7 +351,7 @@
                                       {"error", *error}});
     return;
   }
-  if (node == identity_.node)
+  if (node == identity_.node || IsRecordOfGoneMember(node, record))
     return;
   auto [found, added] = members_.try_emplace(node);
   found->second.has_record = true;
@@ -393,10 +393,25 @@
   // record removes the member.
   if (LinkId old_link = std::exchange(member.link, LinkId())) {
     target_selector_.SetUnreachable(node);
-    CloseLinkOf(old_link);
+    CloseLinkOf(old_link, LinkEnd::kReplaced);
   }
 }
 
+bool MeshReducer::IsRecordOfGoneMember(const NodeId& node,
+                                       const wire::NodeRecord& record) {
+  auto found = gone_members_.find(node);
+  if (found == gone_members_.end())
+    return false;
+  const GoneMember& gone = found->second;
+  uint64_t incarnation = record.node().boot();
+  bool newer =
+      incarnation > gone.incarnation ||
+      (incarnation == gone.incarnation && record.address() != gone.address);
+  if (newer)
+    gone_members_.erase(found);
+  return !newer;
+}
+
 void MeshReducer::OnRecordMissing(const NodeId& node) {
   Member& member = members_.at(node);
   member.has_record = false;
@@ -418,7 +433,7 @@
   target_selector_.RemoveNode(node);
   LogLine(LogCode::kMemberChanged, {{"peer", node}, {"state", "gone"}});
   if (link)
-    CloseLinkOf(link);
+    CloseLinkOf(link, LinkEnd::kReplaced);
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -201,6 +201,7 @@
     target_.known = false;
     LogLine(LogCode::kTargetChanged,
             {{"target", target_.report.id}, {"state", "replaced"}});
+    AdvertiseLoad();
     Apply(queue_.RefuseAll());
   }
   if (not_connected && now_ >= target_.unreachable_until) {
@@ -209,6 +210,8 @@
       RecordTargetCrash();
     LogLine(LogCode::kTargetChanged,
             {{"target", target_.report.id}, {"state", "unreachable"}});
+    // Until it is known, requests are placed here, refused and placed again.
+    AdvertiseLoad();
     Apply(queue_.RefuseAll());
   }
 }
@@ -433,6 +436,7 @@
           {{"target", target_.report.id},
            {"state", "silent"},
            {"in_flight", std::to_string(queue_.in_flight())}});
+  AdvertiseLoad();
   Apply(queue_.RefuseAll());
 }
 
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -61,6 +61,16 @@
   gauge("calls", status.calls);
   gauge("members", status.members);
   gauge("links", status.links);
+  gauge("members_gone", status.gone_members);
+  gauge("links_opened_total", status.links_opened);
+  gauge("links_accepted_total", status.links_accepted);
+  for (size_t i = 0; i < status.links_lost.size(); ++i) {
+    text += "comfreylock_links_lost_total{reason=\"" +
+            std::string(NameOf(static_cast<LinkEnd>(i))) + "\"} " +
+            std::to_string(status.links_lost[i]) + "\n";
+  }
+  gauge("configs_sent_total", status.configs_sent);
+  gauge("configs_withheld_total", status.configs_withheld);
   gauge("target_slots", status.slots);
   gauge("target_in_flight", status.in_flight);
   gauge("target_queued", status.queued);
