--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -27,6 +27,25 @@
                                  observed), flush=True)
 
 
+def is_complete_read(name, status, headers, body):
+    """Returns whether this is the answer to the read by way of node `name`."""
+    if status != 200 or headers.get("Comfreylock-Outcome") != "complete" or (
+            headers.get("X-Request-Id") != "read-" + name):
+        return False
+    try:
+        return json.loads(body)["path"] == "/proofs/" + name
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+def reason_of(body):
+    """Returns the reason that a refusal states, or the start of its body."""
+    try:
+        return json.loads(body)["reason"]
+    except (ValueError, KeyError, TypeError):
+        return repr(body[:200])
+
+
 def check_reads(fleet, report, key):
     """Every node returns complete answers; only the entry node sees the key."""
     complete = 0
@@ -34,10 +53,14 @@
         status, headers, body = request(
             fleet.caller_address(name), "GET", "/proofs/%s" % name,
             {"Authorization": "Bearer " + key, "X-Request-Id": "read-" + name})
-        correct = (status == 200 and headers.get("Comfreylock-Outcome") ==
-                 "complete" and headers.get("X-Request-Id") == "read-" + name
-                 and json.loads(body)["path"] == "/proofs/" + name)
-        complete += correct
+        if is_complete_read(name, status, headers, body):
+            complete += 1
+        else:
+            print("      GET /proofs/%s: status %d, outcome %s, request id %s, "
+                  "reason %s" % (name, status,
+                                 headers.get("Comfreylock-Outcome"),
+                                 headers.get("X-Request-Id"), reason_of(body)),
+                  flush=True)
     report.check("every caller gets its own complete answer",
                  complete == len(fleet.nodes),
                  "%d of %d reads complete" % (complete, len(fleet.nodes)))
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -45,7 +45,8 @@
     {LogCode::kLinkOpened, LogLevel::kInfo, "link_opened",
      "A connection to another node was made."},
     {LogCode::kLinkLost, LogLevel::kWarning, "link_lost",
-     "A connection to another node ended or could not be made."},
+     "A connection to another node ended (closed, silent, replaced), could not "
+     "be made (refused) or led to another node (wrong_peer)."},
     {LogCode::kPartitionTaken, LogLevel::kInfo, "partition_taken",
      "This node owns a partition of organisations and once-only keys."},
     {LogCode::kPartitionLost, LogLevel::kWarning, "partition_lost",
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -1,6 +1,25 @@
 #include "mesh/metrics.h"
 
 namespace comfreylock::mesh {
+namespace {
+
+/// @return a label with its value, escaped as Prometheus requires: names of the
+///     configuration and of other nodes may contain any byte.
+std::string Label(const std::string& name, const std::string& value) {
+  std::string text = name + "=\"";
+  for (char letter : value) {
+    if (letter == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (letter == '\\' || letter == '"')
+      text += '\\';
+    text += letter;
+  }
+  return text + '"';
+}
+
+}  // namespace
 
 Metrics::Histogram& Metrics::FindOrAddSeries(Histograms& histograms,
                                              const std::string& name) {
@@ -34,7 +53,7 @@
                                const std::string& name,
                                const std::string& label) {
   for (const auto& [value, histogram] : histograms) {
-    std::string labels = label + "=\"" + value + "\"";
+    std::string labels = Label(label, value);
     for (size_t i = 0; i < kBucketBoundsMs.size(); ++i) {
       text += name + "_bucket{" + labels + ",le=\"" +
               std::to_string(kBucketBoundsMs[i]) + "\"} " +
@@ -79,7 +98,7 @@
             "\"} " + std::to_string(status.failed_calls_permille[i]) + "\n";
   }
   for (const auto& [result, count] : answers_) {
-    text += "comfreylock_answers_total{result=\"" + result + "\"} " +
+    text += "comfreylock_answers_total{" + Label("result", result) + "} " +
             std::to_string(count) + "\n";
   }
   AppendHistograms(text, by_route_, "comfreylock_route_latency_ms", "route");
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -204,6 +204,19 @@
   EXPECT_FALSE(CallerCodec().Decode(std::move(request)));
 }
 
+// Guards against a deadline that is taken from the digits at the start of
+// another value.
+TEST(CallerCodecTest, RejectsDeadlineWithFurtherText) {
+  for (const char* text : {"700x", "700 ", "7e2", "700,800", "x", "-1"}) {
+    mesh::HttpRequest request = Request();
+    for (auto& [name, value] : request.fields) {
+      if (name == "X-Comfreylock-Request-Deadline")
+        value = text;
+    }
+    EXPECT_FALSE(CallerCodec().Decode(std::move(request))) << text;
+  }
+}
+
 TEST(CallerCodecTest, AcceptsAbsoluteForm) {
   mesh::HttpRequest request = Request();
   request.request_target = "http://other.example/a/2";
