Bound the bytes of a request's placements; soak check of lost links

A request was sent to up to six nodes, whatever the size of its body. Now at most 128 MB of its body are sent, which are two placements of the largest one.

The soak reports pairs of nodes that lose more than 10 links in 5 s.

--- a/scripts/soak_checks.py
+++ b/scripts/soak_checks.py
@@ -16,6 +16,11 @@
 RATE_TOLERANCE = 0.1
 RATE_SLACK = 20
 RATE_WINDOW_S = 5.0
+# A node may lose links to one peer this often in any LINK_WINDOW_S: after a
+# link that lasted at least 1 s it connects at once, otherwise after 0.2 s or
+# longer.
+MAX_LINKS_LOST = 10
+LINK_WINDOW_S = 5.0
 
 
 @dataclasses.dataclass
@@ -164,6 +169,23 @@
             s.key not in rules.withdrawn_at]
 
 
+def links_lost_too_often(lost):
+    """Pairs of nodes that lost the links between them again and again.
+
+    `lost` has (node, peer, time) of each lost link."""
+    times = collections.defaultdict(list)
+    for node, peer, when in lost:
+        times[node, peer].append(when)
+    wrong = []
+    for (node, peer), at in sorted(times.items()):
+        at.sort()
+        most = max(bisect.bisect_right(at, start + LINK_WINDOW_S) - i
+                   for i, start in enumerate(at))
+        if most > MAX_LINKS_LOST:
+            wrong.append("%s to %s: %d in 5 s" % (node, peer, most))
+    return wrong
+
+
 CHECKS = (double_orders, false_refusals, broken_answers, unknown_runs,
           wrong_organisations, withdrawn_keys, runs_after_leave,
           too_many_attempts, over_rate, wrong_denials)
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kOutdatedConfigTimeout = 1000ms;
 /// Maximum number of placements of one call. After that it is refused.
 constexpr uint32_t kMaxPlacements = 6;
+/// Bytes of its body that are sent to other nodes for one call, over all
+/// placements: twice the default limit of a body, so that any may be placed
+/// again once. Six times 64 MB take 16 s on a host's network link.
+constexpr size_t kMaxSentBodyBytes = size_t{128} * 1024 * 1024;
 /// Maximum wait for a token of a central bucket.
 constexpr milliseconds kTokenWaitTimeout = 120ms;
 /// Bounds of the Retry-After time of refused calls, before jitter.
@@ -223,7 +227,10 @@
       (call.useful_until - now_) *
       (onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
   auto choice = target_selector_.Choose(request, call.tried_nodes, now_);
-  if (!choice || ++call.placement_count > kMaxPlacements) {
+  size_t body_bytes = call.forward->body().size();
+  bool too_large = call.sent_body_bytes > 0 &&
+                   call.sent_body_bytes + body_bytes > kMaxSentBodyBytes;
+  if (!choice || too_large || ++call.placement_count > kMaxPlacements) {
     bool has_target = target_selector_.HasServingTarget(call.service);
     Refuse(call, has_target ? Reason::kOverload : Reason::kNoTarget,
            JitterRetryAfter(kDefaultRetryAfterDelay));
@@ -262,6 +269,7 @@
   }
   auto member = members_.find(choice.node);
   call.link = member->second.link;
+  call.sent_body_bytes += call.forward->body().size();
   Link& link = links_.at(call.link);
   link.calls[call.stream] = call.id;
   link.last_forward_at = now_;
--- a/tests/mesh/reused_address_test.cc
+++ b/tests/mesh/reused_address_test.cc
@@ -316,7 +316,7 @@
     });
   }
 
-  void SendCall(Node& node) {
+  void SendCall(Node& node, std::string body = "") {
     RequestArrived event;
     event.call = CallId{++calls_};
     event.request.host = "h";
@@ -326,6 +326,7 @@
     event.request.forward->set_request_id("r" + std::to_string(calls_));
     event.request.forward->set_method("GET");
     event.request.forward->set_path("/read/1");
+    event.request.forward->set_body(std::move(body));
     Feed(node, std::move(event));
   }
 
@@ -583,6 +584,32 @@
   EXPECT_LE(node.traffic.configs * kConfigBytes, kMaxBytesPerSecond);
 }
 
+// A request with a large body is refused as not run by each target. Guards
+// against sending it to six nodes, which takes longer than any deadline. A
+// small one is still placed six times.
+TEST_F(ReusedAddressTest, LargeBodyIsPlacedFewTimes) {
+  Node& opener = Start("opener", kAddressA);
+  for (int i = 2; i <= 8; ++i)
+    Start("peer" + std::to_string(i), "127.0.0.1:" + std::to_string(i));
+  Run(5s);
+  ResetTraffic();
+  for (auto& node : nodes_)
+    node->target_refuses = true;
+  SendCall(opener, std::string(50'000'000, 'x'));
+  Run(100ms);
+  EXPECT_GE(opener.traffic.forwards, 1);
+  EXPECT_LE(opener.traffic.forwards, 2);
+  ASSERT_EQ(opener.refused.size(), 1u);
+  EXPECT_TRUE(opener.refused[0].not_run);
+  // The targets are tried again after 1 s.
+  Run(3s);
+  ResetTraffic();
+  SendCall(opener, "small");
+  Run(100ms);
+  EXPECT_GE(opener.traffic.forwards, 5);
+  EXPECT_LE(opener.traffic.forwards, 6);
+}
+
 // The target of the entry node refuses connections. Guards against requests
 // that are still placed there until the next tick, refused at once and placed
 // again.
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -7,7 +7,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 
-from soak_checks import Execution, Rules, SentRequest, check_all  # noqa: E402
+from soak_checks import (Execution, Rules, SentRequest,  # noqa: E402
+                         check_all, links_lost_too_often)
 
 
 def rules():
@@ -96,6 +97,14 @@
         self.assertEqual(self.failed([sent_request(status=401)], []),
                          ["wrong_denials"])
 
+    def test_links_lost_again_and_again(self):
+        lost = [("a", "b", 1 + i * 0.4) for i in range(30)]
+        self.assertEqual(links_lost_too_often(lost), ["a to b: 13 in 5 s"])
+        lost = [("a", "b", 1.0 + i) for i in range(30)]
+        self.assertEqual(links_lost_too_often(lost), [])
+        lost = [("a", "p%d" % i, 1.0) for i in range(30)]
+        self.assertEqual(links_lost_too_often(lost), [])
+
 
 if __name__ == "__main__":
     unittest.main()
