--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -27,6 +27,7 @@
   kReportIgnored = 304,
   kStoreFailed = 400,
   kStoreRecovered = 401,
+  kStoreEraChanged = 402,
   kMemberChanged = 500,
   kLinkOpened = 501,
   kLinkLost = 502,
--- a/include/comfreylock/store.h
+++ b/include/comfreylock/store.h
@@ -95,20 +95,25 @@
                                   StoreWatch,
                                   StoreCancelWatch>;
 
+/// A store that is restored from a copy assigns revisions and leases again, and
+/// its era rises. Revisions and leases of different eras are unrelated.
 struct StoreRangeResult {
   std::vector<StoreEntry> entries;
   int64_t revision = 0;
   bool more = false;
+  uint64_t era = 0;  ///< Of the store; 0: it reports none.
 };
 
 struct StoreTransactionResult {
   bool succeeded = false;
   int64_t revision = 0;
+  uint64_t era = 0;  ///< Of the store; 0: it reports none.
 };
 
 struct StoreLeaseResult {
   int64_t lease = 0;
   std::chrono::seconds ttl{0};  ///< 0: the lease has expired.
+  uint64_t era = 0;             ///< Of the store; 0: it reports none.
 };
 
 struct StoreChange {
@@ -123,12 +128,14 @@
   /// The result contains every change made before this time. Not set by stores
   /// whose watches do not report it.
   TimePoint complete_until;
+  uint64_t era = 0;  ///< Of the store; 0: it reports none.
 };
 
 /// The request failed. `may_have_applied`: a write may still have taken effect.
 struct StoreFailure {
   std::string message;
   bool may_have_applied = false;
+  uint64_t era = 0;  ///< 0 also if the store has not responded.
 };
 
 using StoreResult = std::variant<StoreRangeResult,
@@ -137,6 +144,11 @@
                                  StoreWatchResult,
                                  StoreFailure>;
 
+/// @return the era of the store that gave the result; 0 if none is known.
+inline uint64_t EraOf(const StoreResult& result) {
+  return std::visit([](const auto& body) { return body.era; }, result);
+}
+
 /// Carries out store requests. One implementation for each kind of service.
 class StoreClient {
  public:
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -40,6 +40,9 @@
      "The store cannot be reached."},
     {LogCode::kStoreRecovered, LogLevel::kInfo, "store_recovered",
      "The store can be reached again."},
+    {LogCode::kStoreEraChanged, LogLevel::kWarning, "store_era_changed",
+     "The store was restored to an older state; the node writes its records "
+     "again."},
     {LogCode::kMemberChanged, LogLevel::kInfo, "member_changed",
      "A member joined, left, is suspected or dead."},
     {LogCode::kLinkOpened, LogLevel::kInfo, "link_opened",
--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -114,6 +114,9 @@
 struct ConfigRead {
   std::shared_ptr<const FleetConfig> config;  ///< Null: unchanged.
   TimePoint confirmed_at;  ///< When it was known to be the newest.
+  /// Of the store that it was read from; 0 if the store reports none, or if
+  /// another node sent the configuration.
+  uint64_t store_era = 0;
 };
 
 struct StoreReplied {
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -81,6 +81,9 @@
   bool polls_config = false;
   /// Another node has a newer version but has not sent it in time.
   bool config_outdated = false;
+  uint64_t store_era = 0;  ///< Highest that was seen; 0: none reported.
+  /// Number of times that the store's era rose since the start.
+  uint64_t store_restores = 0;
 };
 
 /// Makes all decisions of one mesh node: which requests it admits, where it
--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -81,6 +81,37 @@
   return found == items_.end() ? "" : found->second.value;
 }
 
+void PlatformStoreStandin::SaveCopy() {
+  copy_ = {items_, revision_, last_lease_};
+}
+
+void PlatformStoreStandin::RestoreCopy(milliseconds outage) {
+  restored_at_ = Clock::now() + outage;
+  if (outage.count() == 0)
+    FinishRestore();
+}
+
+void PlatformStoreStandin::FinishRestore() {
+  restored_at_.reset();
+  ++era_;
+  items_ = copy_.items;
+  std::erase_if(items_,
+                [](const auto& item) { return item.second.lease != 0; });
+  revision_ = copy_.revision;
+  last_lease_ = copy_.last_lease;
+  leases_.clear();
+  history_.clear();
+  oldest_revision_ = revision_ + 1;
+  ServeWatches();
+}
+
+int PlatformStoreStandin::RunHeldTransaction() {
+  json body = *std::exchange(held_transaction_, std::nullopt);
+  int status = RunTransaction(body);
+  ServeWatches();
+  return status;
+}
+
 void PlatformStoreStandin::Compact() {
   history_.clear();
   oldest_revision_ = revision_ + 1;
@@ -89,6 +120,10 @@
 
 void PlatformStoreStandin::OnRequest(CallId call,
                                      const mesh::HttpRequest& request) {
+  if (restored_at_) {
+    Answer(call, 503, json::object());
+    return;
+  }
   if (failure_status_ != 0) {
     Answer(call, failure_status_, json::object());
     return;
@@ -110,6 +145,7 @@
   } else if (path == "/v1/kv-txn") {
     OnTransaction(call, body);
   } else if (path == "/v1/kv-lease") {
+    ++grants_;
     milliseconds ttl(body.value("ttl_ms", 1000));
     leases_[++last_lease_] = {ttl, Clock::now() + ttl};
     Answer(call, 200, {{"lease", last_lease_}, {"ttl_ms", ttl.count()}});
@@ -176,20 +212,34 @@
 }
 
 void PlatformStoreStandin::OnTransaction(CallId call, const json& body) {
+  if (std::exchange(hold_transaction_, false)) {
+    held_transaction_ = body;
+    return;
+  }
+  int status = RunTransaction(body);
+  if (status != kOk) {
+    Answer(call, status, {{"items", json::array()}});
+    return;
+  }
+  ServeWatches();
+  if (answers_to_lose_ > 0) {
+    --answers_to_lose_;
+    return;
+  }
+  Answer(call, status, {{"revision", revision_}});
+}
+
+int PlatformStoreStandin::RunTransaction(const json& body) {
   for (const json& row : body.at("expect")) {
     auto found = items_.find(row.at("key").get<std::string>());
     int64_t revision = found == items_.end() ? 0 : found->second.revision;
-    if (revision != row.at("revision").get<int64_t>()) {
-      Answer(call, 412, {{"items", json::array()}});
-      return;
-    }
+    if (revision != row.at("revision").get<int64_t>())
+      return 412;
   }
   for (const json& row : body.at("writes")) {
     int64_t lease = row.value("lease", int64_t{0});
-    if (lease != 0 && !leases_.contains(lease)) {
-      Answer(call, 404, json::object());
-      return;
-    }
+    if (lease != 0 && !leases_.contains(lease))
+      return 404;
   }
   for (const json& row : body.at("writes")) {
     Write(row.at("key").get<std::string>(),
@@ -198,18 +248,15 @@
   }
   for (const json& key : body.at("deletes"))
     Remove(key.get<std::string>());
-  ServeWatches();
-  if (answers_to_lose_ > 0) {
-    --answers_to_lose_;
-    return;
-  }
-  Answer(call, 200, {{"revision", revision_}});
+  return kOk;
 }
 
 void PlatformStoreStandin::Answer(CallId call, int status, const json& body) {
   mesh::HttpAnswer answer;
   answer.status = status;
   answer.fields.emplace_back("Content-Type", "application/json");
+  if (era_ != 0)
+    answer.fields.emplace_back("Store-Era", std::to_string(era_));
   answer.body = body.dump();
   server_.Respond(call, std::move(answer));
 }
@@ -253,7 +300,8 @@
   auto now = Clock::now();
   std::vector<PendingWatch> pending = std::exchange(pending_watches_, {});
   for (const PendingWatch& watch : pending) {
-    if (watch.after_revision + 1 < oldest_revision_) {
+    if (watch.after_revision + 1 < oldest_revision_ ||
+        watch.after_revision > revision_) {
       Answer(watch.call, 410, json::object());
       continue;
     }
@@ -268,6 +316,8 @@
 
 void PlatformStoreStandin::Tick() {
   auto now = Clock::now();
+  if (restored_at_ && now >= *restored_at_)
+    FinishRestore();
   std::vector<std::string> expired_keys;
   for (const auto& [key, item] : items_) {
     auto lease = leases_.find(item.lease);
--- a/standins/standin_platform.h
+++ b/standins/standin_platform.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,11 +40,33 @@
   /// answers are not sent.
   void LoseAnswers(int count) { answers_to_lose_ = count; }
 
+  /// Sets the era that all responses report; 0: none is reported.
+  void SetEra(uint64_t era) { era_ = era; }
+
+  /// Keeps a copy of all keys, for `RestoreCopy`.
+  void SaveCopy();
+
+  /// Performs the operators' drill: refuses all requests with 503 for `outage`,
+  /// then returns to the copy in the next era. All leases and their keys are
+  /// lost. Revisions and leases are assigned again from those of the copy.
+  void RestoreCopy(std::chrono::milliseconds outage);
+
+  /// Holds the next transaction, which is carried out only when
+  /// `RunHeldTransaction` is called. Its sender gets no response.
+  void HoldTransaction() { hold_transaction_ = true; }
+
+  /// @return whether a transaction is held.
+  bool holds_transaction() const { return held_transaction_.has_value(); }
+
+  /// @return the status of the transaction that was held.
+  int RunHeldTransaction();
+
   /// Discards the history of changes; watches from earlier revisions get 410.
   void Compact();
 
   int writes() const { return writes_; }
   int reads() const { return reads_; }
+  int grants() const { return grants_; }
 
  private:
   struct Item {
@@ -68,11 +91,22 @@
     std::chrono::steady_clock::time_point expires_at;
   };
 
+  /// What a copy of the store contains.
+  struct Copy {
+    std::map<std::string, Item> items;
+    int64_t revision = 1;
+    int64_t last_lease = 0;
+  };
+
   void OnRequest(CallId call, const mesh::HttpRequest& request);
   void OnKey(CallId call, const std::string& query);
   void OnRange(CallId call, const std::string& query);
   void OnWatch(CallId call, const std::string& query);
   void OnTransaction(CallId call, const nlohmann::json& body);
+  /// Carries out a transaction if its conditions hold.
+  /// @return the status of the response.
+  int RunTransaction(const nlohmann::json& body);
+  void FinishRestore();
   void Answer(CallId call, int status, const nlohmann::json& body);
   nlohmann::json ItemToJson(const std::string& key, const Item& item) const;
   nlohmann::json EventsAfter(const std::string& prefix, int64_t after) const;
@@ -90,10 +124,17 @@
   int64_t revision_ = 1;
   int64_t oldest_revision_ = 1;
   int64_t last_lease_ = 0;
+  uint64_t era_ = 0;
+  Copy copy_;
+  /// End of the outage of a drill in progress.
+  std::optional<std::chrono::steady_clock::time_point> restored_at_;
+  bool hold_transaction_ = false;
+  std::optional<nlohmann::json> held_transaction_;
   int failure_status_ = 0;
   int answers_to_lose_ = 0;
   int writes_ = 0;
   int reads_ = 0;
+  int grants_ = 0;
   boost::asio::steady_timer timer_;
   mesh::HttpServer server_;
 };
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -132,6 +132,10 @@
   void Start(int hosts, milliseconds withdrawal_delay = 5000ms) {
     store_ = std::make_unique<PlatformStoreStandin>(context_, Address(0));
     store_->Put("op/config", ConfigText("r1", "\"k1\""));
+    StartHosts(hosts, withdrawal_delay);
+  }
+
+  void StartHosts(int hosts, milliseconds withdrawal_delay) {
     for (int i = 1; i <= hosts; ++i)
       hosts_.push_back(std::make_unique<Host>(context_, i, withdrawal_delay));
     // Waits until each node is ready, knows the slots of its target, and is
@@ -149,6 +153,14 @@
     RunFor(300ms);
   }
 
+  /// Starts hosts on a store that reports its era, which is 1.
+  void StartInEra(int hosts, milliseconds withdrawal_delay = 5000ms) {
+    store_ = std::make_unique<PlatformStoreStandin>(context_, Address(0));
+    store_->SetEra(1);
+    store_->Put("op/config", ConfigText("r1", "\"k1\""));
+    StartHosts(hosts, withdrawal_delay);
+  }
+
   void RunFor(milliseconds time) {
     context_.restart();
     context_.run_for(time);
@@ -385,5 +397,151 @@
   EXPECT_EQ(store_->Get("comfreylock/nodes/n1"), "");
 }
 
+// Guards against a revision that is compared with one of another era because a
+// response does not tell its era.
+TEST_F(PlatformTest, EveryResponseOfTheStoreTellsItsEra) {
+  store_ = std::make_unique<PlatformStoreStandin>(context_, Address(0));
+  store_->SetEra(7);
+  KvStoreClient client(context_, Address(0), ReadNodeClock,
+                       [](StoreRequestId, StoreResult) {});
+  auto execute = [&](StoreRequest request) {
+    std::optional<StoreResult> result;
+    client.Call(std::move(request), 1000ms,
+                [&](StoreResult found) { result = std::move(found); });
+    for (int i = 0; i < 200 && !result; ++i)
+      RunFor(10ms);
+    return result.value_or(StoreFailure{"no result"});
+  };
+  StoreTransaction refused;
+  refused.compares.push_back({"k", 99});
+  StoreWatch watch;
+  watch.key = "k";
+  watch.start_revision = 1000;
+  watch.progress_interval = 50ms;
+  watch.once = true;
+  for (const StoreRequest& request : std::vector<StoreRequest>{
+           StoreRange{"k"}, StoreRange{"k", PrefixEnd("k")}, StoreTransaction{},
+           refused, StoreLeaseGrant{}, StoreLeaseKeepAlive{99}, watch}) {
+    StoreResult result = execute(request);
+    EXPECT_FALSE(std::holds_alternative<StoreFailure>(result));
+    EXPECT_EQ(EraOf(result), 7u) << request.index();
+  }
+  store_->SetFailure(503);
+  StoreResult result = execute(StoreRange{"k"});
+  ASSERT_TRUE(std::holds_alternative<StoreFailure>(result));
+  EXPECT_EQ(EraOf(result), 7u);
+  store_->SetFailure(0);
+  store_->SetEra(0);
+  EXPECT_EQ(EraOf(execute(StoreRange{"k"})), 0u);
+}
+
+// Guards against a node that ignores what the operator writes after a restore,
+// since the store assigns revisions again that the node has already seen.
+TEST_F(PlatformTest, ConfigOfNewEraAppliesAtReassignedRevision) {
+  StartInEra(2);
+  store_->SaveCopy();
+  for (int i = 2; i <= 6; ++i)
+    store_->Put("op/config", ConfigText("r" + std::to_string(i), "\"k1\""));
+  RunFor(300ms);
+  ASSERT_EQ(hosts_[0]->runtime().status().config_version, 6u);
+  store_->RestoreCopy(200ms);
+  RunFor(250ms);
+  // The operator withdraws the key, at a revision below that of version 6.
+  store_->Put("op/config", ConfigText("r7", "\"k2\""));
+  RunFor(1500ms);
+  for (size_t host : {0, 1}) {
+    EXPECT_EQ(hosts_[host]->runtime().status().config_version, 7u);
+    EXPECT_EQ(Call(host, "/read/1", "k1").status, 401);
+    EXPECT_EQ(Call(host, "/read/1", "k2").status, 200);
+  }
+}
+
+// Guards against keys that an older copy of the configuration confirms, and
+// against a return to that copy.
+TEST_F(PlatformTest, RestoredOlderConfigConfirmsNoKeys) {
+  StartInEra(2, 3000ms);
+  store_->SaveCopy();
+  store_->Put("op/config", ConfigText("r2", "\"k2\""));
+  RunFor(300ms);
+  store_->RestoreCopy(100ms);
+  RunFor(3500ms);
+  for (size_t host : {0, 1}) {
+    EXPECT_EQ(hosts_[host]->runtime().status().config_version, 2u);
+    EXPECT_EQ(Call(host, "/read/1", "k1").status, 503);
+    EXPECT_EQ(Call(host, "/read/1", "k2").status, 503);
+  }
+  store_->Put("op/config", ConfigText("r2", "\"k2\""));
+  RunFor(1500ms);
+  for (size_t host : {0, 1}) {
+    EXPECT_EQ(Call(host, "/read/1", "k2").status, 200);
+    EXPECT_EQ(Call(host, "/read/1", "k1").status, 401);
+  }
+}
+
+// Guards against an older configuration that a node takes from the restored
+// store when it starts.
+TEST_F(PlatformTest, NodeStartedAfterRestoreTakesConfigOfOtherNodes) {
+  StartInEra(2);
+  store_->SaveCopy();
+  store_->Put("op/config", ConfigText("r2", "\"k2\""));
+  RunFor(300ms);
+  hosts_[1].reset();
+  hosts_.pop_back();
+  store_->RestoreCopy(100ms);
+  RunFor(150ms);
+  hosts_.push_back(std::make_unique<Host>(context_, 2, 5000ms));
+  for (int i = 0; i < 60; ++i) {
+    RunFor(50ms);
+    EXPECT_NE(hosts_[1]->runtime().status().config_version, 1u);
+  }
+  EXPECT_EQ(hosts_[1]->runtime().status().config_version, 2u);
+  EXPECT_NE(Call(1, "/read/1", "k1").status, 200);
+}
+
+// Guards against records and leaves that stay lost after a restore.
+TEST_F(PlatformTest, RecordsAndLeavesReturnAfterRestore) {
+  StartInEra(2);
+  store_->SaveCopy();
+  hosts_[0]->target().Deregister();
+  RunFor(300ms);
+  store_->RestoreCopy(300ms);
+  RunFor(9500ms);
+  EXPECT_NE(store_->Get("comfreylock/nodes/n1"), "");
+  EXPECT_NE(store_->Get("comfreylock/nodes/n2"), "");
+  mesh::wire::TargetRecord record;
+  ASSERT_TRUE(record.ParseFromString(store_->Get("comfreylock/targets/n1")));
+  EXPECT_EQ(record.id(), "");
+  ASSERT_EQ(record.departed_size(), 1);
+  EXPECT_EQ(record.departed(0).id(), "i-1");
+  EXPECT_NE(hosts_[0]->runtime().MetricsText().find("comfreylock_store_era 2"),
+            std::string::npos);
+  EXPECT_NE(hosts_[0]->runtime().MetricsText().find(
+                "comfreylock_store_restores_total 1"),
+            std::string::npos);
+}
+
+// Guards against a write that is sent before the restore and overwrites what
+// was written after it, since the store assigns the expected revision again.
+TEST_F(PlatformTest, WriteSentBeforeRestoreOverwritesNothingNewer) {
+  StartInEra(2);
+  // The copy lacks the target's record.
+  mesh::wire::TargetRecord before;
+  ASSERT_TRUE(before.ParseFromString(store_->Get("comfreylock/targets/n1")));
+  store_->SaveCopy();
+  store_->HoldTransaction();
+  hosts_[0]->target().Deregister();
+  RunFor(200ms);
+  ASSERT_TRUE(store_->holds_transaction());
+  store_->RestoreCopy(0ms);
+  // The held write now takes effect, with the leave, or is refused after the
+  // node has written it in the new era. It must not bring the target back.
+  RunFor(10s);
+  store_->RunHeldTransaction();
+  mesh::wire::TargetRecord record;
+  ASSERT_TRUE(record.ParseFromString(store_->Get("comfreylock/targets/n1")));
+  EXPECT_EQ(record.id(), "");
+  EXPECT_EQ(record.departed_size(), 1);
+}
+
 }  // namespace
 }  // namespace comfreylock::platform
