Treat a risen era of the store as a restore to an older state

Revisions, leases and results of writes count only within one era. After a restore each node takes a new lease and writes its records after a random part of 6 s, reads its target's record and merges the departed targets, and reads the members later. A copy of the configuration that is older than the version in force confirms nothing. A store that reports no era is used as before.

--- a/src/mesh/frame_check.cc
+++ b/src/mesh/frame_check.cc
@@ -13,6 +13,8 @@
 constexpr uint64_t kMaxSentUs = std::numeric_limits<int64_t>::max() / 2;
 constexpr uint32_t kMinFinalStatus = 200;
 constexpr uint32_t kMaxStatus = 999;
+/// A node keeps up to 64 departed targets.
+constexpr int kMaxDepartedRows = 64;
 
 void Require(bool valid, const char* field) {
   if (!valid)
@@ -69,6 +71,13 @@
         RequireRate(row.burst(), "shares.rows.burst");
       }
       return;
+    case wire::Frame::kTargetsLeft:
+      Require(!frame.targets_left().node().empty(), "targets_left.node");
+      Require(frame.targets_left().departed_size() <= kMaxDepartedRows,
+              "targets_left.departed");
+      for (const auto& row : frame.targets_left().departed())
+        Require(!row.id().empty(), "targets_left.departed.id");
+      return;
     default:
       return;
   }
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -88,6 +88,8 @@
     status.failed_calls_permille[i] = call_failures_.FailurePermille(i, now);
   status.stopping = stopping_;
   status.polls_config = PollsConfig();
+  status.store_era = store_era_;
+  status.store_restores = store_restores_;
   status.config_outdated = newest_config_version_ > status.config_version &&
                            now - config_outdated_since_ > kPeerConfigTimeout;
   auto limit = identity_.bounds.max_key_withdrawal_delay * kMaxReadyAgeFraction;
@@ -108,6 +110,8 @@
   MaintainTargetRecord();
   AnswerWrittenReports();
   RefreshMembers();
+  UpdatePeerWait();
+  UpdateKeepers();
   UpdateFleetSize();
   CloseSilentLinks();
   ConnectMembers();
@@ -160,10 +164,27 @@
 }
 
 void MeshReducer::Handle(const ConfigRead& event) {
-  config_confirmed_at_ = std::max(config_confirmed_at_, event.confirmed_at);
+  ObserveStoreEra(event.store_era);
+  // The store may have been restored to an older state.
+  bool doubtful =
+      event.store_era != 0 && !config_ && event.config &&
+      (AwaitsPeers() || event.config->version < newest_config_version_);
+  if (doubtful) {
+    if (!held_config_ || event.config->version >= held_config_->version) {
+      held_config_ = event.config;
+      held_config_confirmed_at_ = event.confirmed_at;
+    }
+    return;
+  }
+  // An older copy is no proof that the configuration in force is the newest.
+  bool older =
+      event.config && config_ && event.config->version < config_->version;
+  if (!older)
+    config_confirmed_at_ = std::max(config_confirmed_at_, event.confirmed_at);
   if (!event.config || (config_ && event.config->version <= config_->version))
     return;
   config_ = event.config;
+  held_config_ = nullptr;
   service_credits_.clear();
   AdvertiseLoad();
   LogLine(LogCode::kConfigInForce,
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -174,6 +174,7 @@
     TimePoint linked_at;      ///< When the link was last open, or it joined.
     TimePoint next_connect_at;
     std::chrono::milliseconds backoff{0};
+    bool sent_load = false;  ///< A load was received from it.
   };
 
   /// The target beside this node.
@@ -314,6 +315,26 @@
 
   // Records in the store (mesh_reducer_records.cc).
   using StoreHandler = std::function<void(const StoreResult&)>;
+  /// A request to the store that has no result yet.
+  struct StoreCall {
+    StoreHandler handler;
+    uint64_t era = 0;   ///< Highest era known when it was sent.
+    bool read = false;  ///< Changes nothing in the store.
+  };
+  /// Notes the era that the store reports. A rise means that the store was
+  /// restored to an older state.
+  /// @param era 0: none is reported.
+  void ObserveStoreEra(uint64_t era);
+  /// Treats all that this node wrote into the store as lost.
+  void OnStoreRestored();
+  /// @return a random part of the window in which all nodes write again.
+  std::chrono::milliseconds RandomRewriteDelay();
+  /// @return the result, or a failure if it belongs to another era than the
+  ///     request or than the store's present one.
+  StoreResult CheckEra(const StoreCall& call, const StoreResult& result) const;
+  /// @return whether a target waits for the confirmation of a leave that is not
+  ///     written yet.
+  bool HasUnwrittenLeave() const;
   void SendStoreRequest(StoreRequest request, StoreHandler handler);
   /// Obtains a lease, writes the record under it, and renews the lease.
   void MaintainNodeRecord();
@@ -324,6 +345,9 @@
   std::string TargetRecordValue() const;
   void WriteTargetRecord();
   void ReadTargetRecord();
+  /// After a failed call: draws a new delay if the record is still to be
+  /// written again after a restore.
+  void PostponeRewrite();
   void OnTargetRecordRead(const StoreRangeResult& range);
   /// Uses what the record tells about the time before the start of this node.
   void ApplyTargetRecord(const wire::TargetRecord& record);
@@ -340,6 +364,25 @@
   void OnRecordMissing(const NodeId& node);
   void RemoveMember(const NodeId& node);
 
+  // What other nodes know of this one (mesh_reducer_news.cc). A store that was
+  // restored may lack the newest configuration and confirmed leaves, so that a
+  // node that starts waits for other nodes before it uses what it has read.
+  /// @return the members that keep the departed targets of `node`: those of the
+  ///     highest scores.
+  /// @param reachable whether only members with an open link count.
+  std::vector<NodeId> KeepersOfDeparted(bool reachable) const;
+  /// Ends the wait for other nodes if it is due.
+  void UpdatePeerWait();
+  bool AwaitsPeers() const { return store_era_ != 0 && !peers_heard_; }
+  /// Sends the departed targets of this host to the nodes that keep them and do
+  /// not have them yet.
+  void UpdateKeepers();
+  /// Sends back the departed targets that a node told before its restart.
+  void ReturnDeparted(const Link& link);
+  void OnTargetsLeft(const Link& link, const wire::TargetsLeft& left);
+  /// Adds departed targets that this node did not know.
+  void MergeDeparted(const std::vector<DepartedTarget>& others);
+
   // Other nodes (mesh_reducer_fleet.cc).
   void ConnectMembers();
   /// Closes links on which nothing was received for too long.
@@ -438,12 +481,28 @@
   bool advertised_serving_ = false;
   TimePoint last_tick_at_;  ///< Time of the last `Tick`.
 
-  std::unordered_map<StoreRequestId, StoreHandler> store_calls_;
+  std::unordered_map<StoreRequestId, StoreCall> store_calls_;
+  uint64_t store_era_ = 0;  ///< Highest that was seen; 0: none reported.
+  uint64_t store_restores_ = 0;
+  /// When the era was first known, and when the first member was.
+  std::optional<TimePoint> era_known_at_;
+  std::optional<TimePoint> first_member_at_;
+  bool peers_heard_ = false;  ///< The wait for other nodes is over.
+  /// Configuration that was read from the store during this wait.
+  std::shared_ptr<const FleetConfig> held_config_;
+  TimePoint held_config_confirmed_at_;
+  /// Links on which keepers were sent the departed targets of this host.
+  std::set<LinkId> informed_keepers_;
+  TimePoint next_keeper_update_at_;
+  /// Departed targets that other nodes have told, by node.
+  std::map<NodeId, std::vector<DepartedTarget>> departed_of_nodes_;
   /// This node's own record in the store.
   struct Record {
     int64_t lease = 0;
     bool request_pending = false;
     bool written = false;
+    /// The store was restored and the record is not written again yet.
+    bool rewriting = false;
     TimePoint next_request_at;
     TimePoint renewed_at;
   } record_;
@@ -464,9 +523,11 @@
     bool read = false;  ///< Was read since the start of this node.
     bool request_pending = false;
     bool revision_known = false;
-    int64_t revision = 0;  ///< Of the record in the store; 0: absent.
-    uint64_t change = 0;   ///< Number of changes so far.
-    uint64_t written = 0;  ///< Last change that the store holds.
+    uint64_t marked_era = 0;  ///< Last era whose marker was written.
+    TimePoint rewrite_at;     ///< After a restore: earliest time to write.
+    int64_t revision = 0;     ///< Of the record in the store; 0: absent.
+    uint64_t change = 0;      ///< Number of changes so far.
+    uint64_t written = 0;     ///< Last change that the store holds.
     TimePoint next_request_at;
   } target_record_;
   /// Targets that have left, oldest first.
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "mesh/mesh_reducer.h"
+#include "mesh/node_score.h"
 
 /// Other nodes: links, load reports, configuration, rate shares and quarantine.
 namespace comfreylock::mesh {
@@ -41,16 +42,6 @@
 /// longer than most network partitions between nodes.
 constexpr std::chrono::seconds kFleetSizeRetention{15};
 
-/// FNV-1a: gives the same result on all nodes.
-uint64_t Hash(std::string_view text) {
-  uint64_t hash = 14695981039346656037u;
-  for (unsigned char byte : text) {
-    hash ^= byte;
-    hash *= 1099511628211u;
-  }
-  return hash;
-}
-
 }  // namespace
 
 void MeshReducer::ConnectMembers() {
@@ -102,6 +93,8 @@
   if (event.accepted) {
     link.node = event.peer.node();
     AddPeer(event.peer);
+    // Before the load, which ends the peer's wait for what others know.
+    ReturnDeparted(link);
     // Sends the load at once, so that the peer knows the target's capacity.
     link.last_load_sent_at = now_;
     auto frame = std::make_shared<wire::Frame>();
@@ -222,6 +215,9 @@
         effects_.push_back(DecodeConfig{frame.config_text().text(), link.node});
       }
       return;
+    case wire::Frame::kTargetsLeft:
+      OnTargetsLeft(link, frame.targets_left());
+      return;
     case wire::Frame::kQuarantined:
       if (quarantine_.Merge(frame.quarantined().entries(), now_))
         SendQuarantine(event.link);
@@ -281,6 +277,7 @@
                              member->second.record.node().zone());
   }
   target_selector_.Update(link.node, load);
+  member->second.sent_load = true;
   // The age of the peer's confirmation is the age that it reports plus the
   // transit delay. The first messages on a link may all have been delayed, so
   // they do not count as confirmations.
@@ -290,7 +287,10 @@
       std::max(newest_config_version_, load.config_version());
   if (IsConfigOutdated() && !was_outdated)
     config_outdated_since_ = now_;
-  if (config_ && load.config_version() > config_->version)
+  const FleetConfig* known = config_ ? config_.get() : held_config_.get();
+  uint64_t known_version = known ? known->version : 0;
+  bool can_request = known || store_era_ != 0;
+  if (can_request && load.config_version() > known_version)
     RequestConfig(link);
   bool same_version = config_ && load.config_version() == config_->version;
   if (same_version && ++link.loads_received > kMinLoadsForClockOffset) {
@@ -302,11 +302,11 @@
 
 bool MeshReducer::PollsConfig() const {
   size_t pollers = kMinConfigPollers + NodeCount() / kNodesPerConfigPoller;
-  uint64_t own_score = Hash("watch/" + identity_.node);
+  uint64_t own_score = NodeScore("watch/" + identity_.node);
   size_t nodes_with_higher_score = 0;
   for (const auto& [node, member] : members_) {
     if (CanReach(node))
-      nodes_with_higher_score += Hash("watch/" + node) > own_score ? 1 : 0;
+      nodes_with_higher_score += NodeScore("watch/" + node) > own_score ? 1 : 0;
   }
   return nodes_with_higher_score < pollers;
 }
@@ -333,15 +333,15 @@
 }
 
 uint32_t MeshReducer::RatePartitionOf(const std::string& organisation) const {
-  return static_cast<uint32_t>(Hash(organisation) % RatePartitionCount());
+  return static_cast<uint32_t>(NodeScore(organisation) % RatePartitionCount());
 }
 
 NodeId MeshReducer::AllocatorOfPartition(uint32_t partition) const {
   std::string prefix = std::to_string(partition) + "/";
   NodeId best = identity_.node;
-  uint64_t best_score = Hash(prefix + best);
+  uint64_t best_score = NodeScore(prefix + best);
   for (const auto& [node, member] : members_) {
-    uint64_t score = Hash(prefix + node);
+    uint64_t score = NodeScore(prefix + node);
     if (score > best_score && CanReach(node)) {
       best = node;
       best_score = score;
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -32,11 +32,24 @@
 constexpr milliseconds kUnreachableMemberDelay = 3000ms;
 /// Number of records read in one call.
 constexpr int64_t kRecordsPerPage = 400;
+/// After a restore, each node writes its records after a random part of this
+/// time. It is two renewal intervals: granting and writing then take no more
+/// calls a second than the renewals do otherwise.
+constexpr milliseconds kRewriteWindow = 6000ms;
+/// A node without members that waits for them reads the records this often.
+constexpr milliseconds kMemberWaitReadInterval = 1000ms;
 
 std::string TargetKey(const NodeId& node) {
   return "comfreylock/targets/" + node;
 }
 
+/// Key that exists once the node has written its target's record in this era. A
+/// write on condition that the marker of the next era is absent has no effect
+/// after that.
+std::string EraMarkerKey(const NodeId& node, uint64_t era) {
+  return "comfreylock/eras/" + node + "/" + std::to_string(era);
+}
+
 std::string RecordKey(const NodeId& node) {
   return std::string(kNodesPrefix) + node;
 }
@@ -45,7 +58,8 @@
 
 void MeshReducer::SendStoreRequest(StoreRequest request, StoreHandler handler) {
   StoreRequestId call{++last_id_};
-  store_calls_[call] = std::move(handler);
+  bool read = std::holds_alternative<StoreRange>(request);
+  store_calls_[call] = {std::move(handler), store_era_, read};
   effects_.push_back(CallStore{call, std::move(request), kStoreTimeout});
 }
 
@@ -60,9 +74,57 @@
     LogLine(failed ? LogCode::kStoreFailed : LogCode::kStoreRecovered,
             {{"reason", failed ? failure->message : "answered"}});
   }
-  StoreHandler handler = std::move(found->second);
+  StoreCall call = std::move(found->second);
   store_calls_.erase(found);
-  handler(event.result);
+  ObserveStoreEra(EraOf(event.result));
+  call.handler(CheckEra(call, event.result));
+}
+
+void MeshReducer::ObserveStoreEra(uint64_t era) {
+  if (era <= store_era_)
+    return;
+  uint64_t previous = std::exchange(store_era_, era);
+  if (!era_known_at_)
+    era_known_at_ = now_;
+  if (previous == 0)
+    return;
+  ++store_restores_;
+  LogLine(LogCode::kStoreEraChanged, {{"era", std::to_string(era)},
+                                      {"previous", std::to_string(previous)}});
+  OnStoreRestored();
+}
+
+void MeshReducer::OnStoreRestored() {
+  // The id of the lost lease may be granted again to another node.
+  record_.lease = 0;
+  record_.written = false;
+  record_.rewriting = true;
+  record_.next_request_at = now_ + RandomRewriteDelay();
+  target_record_.revision_known = false;
+  target_record_.rewrite_at = now_ + RandomRewriteDelay();
+  // Earlier, records of other nodes are missing. Spread over the interval of
+  // the periodic reads, this read costs the store no more than those.
+  std::uniform_int_distribution<int64_t> delay(0, kMemberReadInterval.count());
+  member_reads_.next_read_at =
+      now_ + kRewriteWindow + kRenewInterval + milliseconds(delay(random_));
+  member_reads_.after_own_record = true;
+}
+
+milliseconds MeshReducer::RandomRewriteDelay() {
+  std::uniform_int_distribution<int64_t> delay(0, kRewriteWindow.count());
+  return milliseconds(delay(random_));
+}
+
+StoreResult MeshReducer::CheckEra(const StoreCall& call,
+                                  const StoreResult& result) const {
+  uint64_t era = EraOf(result);
+  bool unknown = era == 0 || store_era_ == 0;
+  if (unknown || std::holds_alternative<StoreFailure>(result))
+    return result;
+  // A write may have been carried out before the restore and answered after it.
+  bool current =
+      era == store_era_ && (call.read || call.era == 0 || call.era == era);
+  return current ? result : StoreFailure{"restored meanwhile", true, era};
 }
 
 void MeshReducer::MaintainNodeRecord() {
@@ -74,6 +136,11 @@
         StoreLeaseGrant{kRecordTtl}, [this](const StoreResult& result) {
           record_.request_pending = false;
           const auto* lease = std::get_if<StoreLeaseResult>(&result);
+          if (!lease && record_.rewriting) {
+            // All nodes have to write again, so that retries are spread too.
+            record_.next_request_at = now_ + RandomRewriteDelay();
+            return;
+          }
           record_.next_request_at =
               now_ + (lease ? milliseconds(0) : kStoreRetryDelay);
           if (lease)
@@ -91,6 +158,9 @@
   SendStoreRequest(StoreLeaseKeepAlive{record_.lease},
                    [this](const StoreResult& result) {
                      record_.request_pending = false;
+                     // The store was restored meanwhile.
+                     if (record_.lease == 0)
+                       return;
                      const auto* lease = std::get_if<StoreLeaseResult>(&result);
                      record_.next_request_at =
                          now_ + (lease ? kRenewInterval : kStoreRetryDelay);
@@ -116,15 +186,23 @@
   record_.request_pending = true;
   SendStoreRequest(std::move(transaction), [this](const StoreResult& result) {
     record_.request_pending = false;
+    // The store was restored meanwhile.
+    if (record_.lease == 0)
+      return;
     const auto* done = std::get_if<StoreTransactionResult>(&result);
     record_.written = done && done->succeeded;
+    milliseconds retry_delay =
+        record_.rewriting ? RandomRewriteDelay() : kStoreRetryDelay;
     record_.next_request_at =
-        now_ + (record_.written ? kRenewInterval : kStoreRetryDelay);
+        now_ + (record_.written ? kRenewInterval : retry_delay);
     // The lease has expired or an answer was lost. A new lease resolves both.
     if (!record_.written) {
       record_.lease = 0;
       return;
     }
+    // After a restore, the read of the members has its own time.
+    if (std::exchange(record_.rewriting, false))
+      return;
     member_reads_.after_own_record = true;
     member_reads_.next_read_at = std::min(member_reads_.next_read_at, now_);
     RefreshMembers();
@@ -134,12 +212,21 @@
 void MeshReducer::MaintainTargetRecord() {
   if (target_record_.request_pending || now_ < target_record_.next_request_at)
     return;
+  if (now_ < target_record_.rewrite_at && !HasUnwrittenLeave())
+    return;
   if (!target_record_.revision_known)
     ReadTargetRecord();
   else if (target_record_.written < target_record_.change)
     WriteTargetRecord();
 }
 
+bool MeshReducer::HasUnwrittenLeave() const {
+  return std::ranges::any_of(unanswered_reports_,
+                             [this](const UnansweredReport& report) {
+                               return report.change > target_record_.written;
+                             });
+}
+
 std::string MeshReducer::TargetRecordValue() const {
   wire::TargetRecord record;
   const TargetReport& report = target_.report;
@@ -160,16 +247,24 @@
 }
 
 /// The write names the revision that it replaces, so that an earlier write that
-/// the store carries out late cannot undo it.
+/// the store carries out late cannot undo it. The store may assign this
+/// revision again after a restore, so that the write also needs the absence of
+/// the marker that the first write of the next era puts.
 void MeshReducer::WriteTargetRecord() {
   std::string key = TargetKey(identity_.node);
   StoreTransaction transaction;
   transaction.compares.push_back({key, target_record_.revision});
   transaction.puts.push_back({key, TargetRecordValue(), 0});
+  uint64_t era = store_era_;
+  if (era != 0) {
+    transaction.compares.push_back({EraMarkerKey(identity_.node, era + 1), 0});
+    if (target_record_.marked_era != era)
+      transaction.puts.push_back({EraMarkerKey(identity_.node, era), "", 0});
+  }
   target_record_.request_pending = true;
   uint64_t change = target_record_.change;
   SendStoreRequest(
-      std::move(transaction), [this, change](const StoreResult& result) {
+      std::move(transaction), [this, change, era](const StoreResult& result) {
         target_record_.request_pending = false;
         const auto* done = std::get_if<StoreTransactionResult>(&result);
         const auto* failure = std::get_if<StoreFailure>(&result);
@@ -177,10 +272,14 @@
           target_record_.revision_known = failure && !failure->may_have_applied;
           target_record_.next_request_at =
               now_ + (failure ? kStoreRetryDelay : milliseconds(0));
+          if (failure)
+            PostponeRewrite();
           return;
         }
         target_record_.revision = done->revision;
         target_record_.written = change;
+        target_record_.marked_era = era;
+        target_record_.rewrite_at = TimePoint();
         AnswerWrittenReports();
         MaintainTargetRecord();
       });
@@ -197,9 +296,15 @@
           return;
         }
         target_record_.next_request_at = now_ + kStoreRetryDelay;
+        PostponeRewrite();
       });
 }
 
+void MeshReducer::PostponeRewrite() {
+  if (target_record_.rewrite_at != TimePoint())
+    target_record_.rewrite_at = now_ + RandomRewriteDelay();
+}
+
 void MeshReducer::OnTargetRecordRead(const StoreRangeResult& range) {
   std::string value;
   target_record_.revision_known = true;
@@ -219,10 +324,25 @@
     target_record_.read = true;
     if (auto report = std::exchange(early_report_, std::nullopt))
       Handle(TargetReported{std::move(*report), CallId()});
-  } else if (value == TargetRecordValue()) {
-    // The write whose answer was lost has taken effect.
-    target_record_.written = target_record_.change;
-    AnswerWrittenReports();
+  } else {
+    // Another incarnation of this node may have written what this one does not
+    // know.
+    wire::TargetRecord record;
+    std::vector<DepartedTarget> departed;
+    if (record.ParseFromString(value)) {
+      for (const wire::TargetRecord::Departed& row : record.departed())
+        departed.push_back({row.id(), row.born(), 0});
+    }
+    MergeDeparted(departed);
+    if (value == TargetRecordValue()) {
+      // The write whose answer was lost has taken effect.
+      target_record_.written = target_record_.change;
+      target_record_.rewrite_at = TimePoint();
+      AnswerWrittenReports();
+    } else if (target_record_.written == target_record_.change) {
+      // The store has lost it.
+      ++target_record_.change;
+    }
   }
   MaintainTargetRecord();
 }
@@ -232,19 +352,23 @@
 /// has replaced it since, that one refuses requests that name the old target.
 void MeshReducer::ApplyTargetRecord(const wire::TargetRecord& record) {
   std::vector<DepartedTarget> later = std::exchange(departed_, {});
-  uint64_t last_start = 0;
-  for (const wire::TargetRecord::Departed& row : record.departed()) {
+  for (const wire::TargetRecord::Departed& row : record.departed())
     departed_.push_back({row.id(), row.born(), 0});
-    last_start = std::max<uint64_t>(last_start, row.born());
-  }
   for (const DepartedTarget& departed : later)
     AddDeparted(departed.id, departed.started_at_ms);
   if (!target_.report.id.empty())
     return;
   // Reports of targets that started earlier are late.
-  target_.report.started_at_ms = last_start;
+  for (const DepartedTarget& departed : departed_) {
+    target_.report.started_at_ms =
+        std::max(target_.report.started_at_ms, departed.started_at_ms);
+  }
   if (record.id().empty() || record.address() != identity_.target_address)
     return;
+  // A restored record may be older than what other nodes have told.
+  const DepartedTarget* departed = FindDeparted(record.id());
+  if (departed && record.born() <= departed->started_at_ms)
+    return;
   TargetReport report;
   report.id = record.id();
   report.service = record.service();
@@ -271,7 +395,9 @@
   if (!member_reads_.done && !record_.written &&
       now_ - started_at_ < kOwnRecordWait)
     return;
-  bool due = !member_reads_.done || member_reads_.after_own_record ||
+  bool waits_for_members = AwaitsPeers() && members_.empty();
+  bool due = !member_reads_.done || waits_for_members ||
+             member_reads_.after_own_record ||
              now_ >= member_reads_.done_at + kMemberReadInterval ||
              HasUnreachableMember();
   if (!due)
@@ -281,7 +407,9 @@
   member_reads_.serializable =
       member_reads_.done && !member_reads_.after_own_record;
   member_reads_.after_own_record = false;
-  member_reads_.next_read_at = now_ + kMinMemberReadInterval;
+  member_reads_.next_read_at =
+      now_ +
+      (waits_for_members ? kMemberWaitReadInterval : kMinMemberReadInterval);
   member_reads_.last_key.clear();
   member_reads_.keys_read.clear();
   ReadMembers();
@@ -298,13 +426,18 @@
 
 void MeshReducer::ReadMembers() {
   member_reads_.reading = true;
+  uint64_t era = store_era_;
   std::string prefix(kNodesPrefix);
   std::string from =
       member_reads_.last_key.empty() ? prefix : member_reads_.last_key + '\0';
   SendStoreRequest(StoreRange{from, PrefixEnd(prefix), kRecordsPerPage,
                               member_reads_.serializable},
-                   [this](const StoreResult& result) {
+                   [this, era](const StoreResult& result) {
                      member_reads_.reading = false;
+                     // The store was restored meanwhile: the records are read
+                     // again later, since many are missing now.
+                     if (era != 0 && era != store_era_)
+                       return;
                      const auto* range = std::get_if<StoreRangeResult>(&result);
                      if (!range) {
                        if (member_reads_.serializable)
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -285,7 +285,7 @@
 }
 
 bool MeshReducer::IsTargetServing() const {
-  return target_.known && !target_.leaving &&
+  return !AwaitsPeers() && target_.known && !target_.leaving &&
          now_ >= target_.unreachable_until && queue_.slots() > 0;
 }
 
@@ -317,6 +317,9 @@
   if (departed_.size() >= kMaxDepartedTargets)
     departed_.erase(departed_.begin());
   departed_.push_back({id, started_at_ms, ++target_record_.change});
+  // The keepers have to be sent this one too.
+  informed_keepers_.clear();
+  next_keeper_update_at_ = TimePoint();
 }
 
 void MeshReducer::Handle(const TargetReported& event) {
@@ -340,6 +343,7 @@
              {"sequence", std::to_string(report.sequence)},
              {"born", std::to_string(report.started_at_ms)}});
   }
+  UpdateKeepers();
   AnswerWhenWritten(event);
 }
 
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -61,6 +61,8 @@
   gauge("calls", status.calls);
   gauge("members", status.members);
   gauge("links", status.links);
+  gauge("store_era", status.store_era);
+  gauge("store_restores_total", status.store_restores);
   gauge("target_slots", status.slots);
   gauge("target_in_flight", status.in_flight);
   gauge("target_queued", status.queued);
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -19,7 +19,12 @@
           control,
           "",
           "IP:PORT of POST /faults, for a store: {\"status\": 503, \"lose\": "
-          "2, \"compact\": true}. Empty: none.");
+          "2, \"compact\": true, \"copy\": true, \"restore_ms\": 300}. "
+          "restore_ms returns to the last copy after that time. Empty: none.");
+ABSL_FLAG(uint64_t,
+          era,
+          0,
+          "Era that a store reports; each restore raises it. 0: none.");
 ABSL_FLAG(std::string, id, "i-1", "Id of the target.");
 ABSL_FLAG(std::string, service, "shop", "Service of the target.");
 ABSL_FLAG(std::string,
@@ -48,6 +53,7 @@
 
 int RunStore(boost::asio::io_context& context) {
   PlatformStoreStandin store(context, absl::GetFlag(FLAGS_address));
+  store.SetEra(absl::GetFlag(FLAGS_era));
   std::unique_ptr<mesh::HttpServer> control;
   auto on_request = [&](CallId call, const mesh::HttpRequest& request) {
     mesh::HttpAnswer answer;
@@ -59,6 +65,11 @@
       store.LoseAnswers(body.value("lose", 0));
       if (body.value("compact", false))
         store.Compact();
+      if (body.value("copy", false))
+        store.SaveCopy();
+      if (body.contains("restore_ms"))
+        store.RestoreCopy(
+            std::chrono::milliseconds(body.value("restore_ms", 0)));
     }
     control->Respond(call, std::move(answer));
   };
