--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -90,6 +90,8 @@
   }
   gauge("configs_sent_total", status.configs_sent);
   gauge("configs_withheld_total", status.configs_withheld);
+  gauge("store_era", status.store_era);
+  gauge("store_restores_total", status.store_restores);
   gauge("target_slots", status.slots);
   gauge("target_in_flight", status.in_flight);
   gauge("target_queued", status.queued);
