--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -150,7 +150,7 @@
     std::chrono::microseconds expected_time{0};  ///< Wait plus service time.
     uint32_t placement_count = 0;
     size_t sent_body_bytes = 0;  ///< To other nodes, over all placements.
-    uint32_t run_count = 0;  ///< Attempts that a target may have run.
+    uint32_t run_count = 0;      ///< Attempts that a target may have run.
     bool may_have_run = false;
     bool shed = false;  ///< A target has shed it.
     /// Holds a token of its organisation's bucket.
