Follow evacuations of zones and limit the starts on cold targets

Cause: nodes did not read the operator's keys op/evacuate/ZONE, so that targets of an evacuated zone got requests. The time left of a target's warm-up only raised its cost in the selection, so that a cold target got any rate of requests up to its slots.

Load.evacuations passes the set on, once for each version and link; the set of the higher (era, revision) wins. MeshReducer::IsTargetServing is the only place that decides whether the target gets new requests. Entry nodes skip targets of evacuated zones.

TargetQueue includes it in its expected wait and usable slots, Load.start_rate_milli tells entry nodes the rate. A target also counts as cold after a new start, a refused connection, missed reports, an evacuation of its zone and a start of its node, until its next report.

Existing tests are not changed.

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -98,6 +99,7 @@
   uint32_t slots = 0;
   bool leaving = false;
   std::chrono::milliseconds warmup_remaining{0};
+  bool states_warmup = false;  ///< False: `warmup_remaining` is unknown.
   uint64_t sequence = 0;  ///< Increases with each report of one incarnation.
   /// Start time of the target, milliseconds; 0 if unknown.
   uint64_t started_at_ms = 0;
@@ -116,6 +118,13 @@
   TimePoint confirmed_at;  ///< When it was known to be the newest.
 };
 
+/// The evacuated zones were read from the store.
+struct EvacuationsRead {
+  uint64_t era = 0;       ///< Restore counter of the store; 0: unknown.
+  uint64_t revision = 0;  ///< Revision of the store at which `zones` held.
+  std::set<std::string> zones;
+};
+
 struct StoreReplied {
   StoreRequestId call;
   StoreResult result;
@@ -138,6 +147,7 @@
                                TargetAnswered,
                                TargetReported,
                                ConfigRead,
+                               EvacuationsRead,
                                StoreReplied,
                                Tick,
                                ShutdownRequested>;
--- a/src/mesh/fleet_config.h
+++ b/src/mesh/fleet_config.h
@@ -42,6 +42,12 @@
   double burst = 0;                    ///< Requests.
 };
 
+/// What a target of a service can handle while it is cold.
+struct WarmupRule {
+  std::chrono::milliseconds duration{0};  ///< Of the warm-up after a start.
+  double starts_per_second = 0;           ///< Requests; 0: no limit.
+};
+
 /// Limits of the HTTP listener for callers.
 struct CallerLimits {
   size_t max_header_bytes = 16 * 1024;
@@ -60,6 +66,8 @@
   /// Name of the organisation that owns each key.
   std::unordered_map<std::string, std::string> keys;
   std::set<std::string, std::less<>> services;
+  /// By service; only services whose cold targets are limited.
+  std::map<std::string, WarmupRule, std::less<>> warmup_rules;
   CallerLimits limits;
 
   /// @param host without port, lower case.
--- a/src/mesh/frame_check.cc
+++ b/src/mesh/frame_check.cc
@@ -23,6 +23,13 @@
   Require(std::isfinite(value) && value >= 0, field);
 }
 
+/// A revision that no store reaches would hide all later evacuations.
+void RequireRevision(const wire::Load& load) {
+  Require(
+      load.evacuations().revision() <= std::numeric_limits<int64_t>::max() / 2,
+      "load.evacuations.revision");
+}
+
 void RequireUsableAddress(const std::string& address) {
   auto endpoint = ParseEndpoint(address);
   Require(endpoint.port() != 0 && !endpoint.address().is_unspecified(),
@@ -46,6 +53,7 @@
       return;
     case wire::Frame::kLoad:
       Require(frame.load().sent_us() <= kMaxSentUs, "load.sent_us");
+      RequireRevision(frame.load());
       return;
     case wire::Frame::kForward:
       Require(frame.forward().sent_us() <= kMaxSentUs, "forward.sent_us");
@@ -57,6 +65,7 @@
                    outcome.status() <= kMaxStatus),
               "outcome.status");
       Require(outcome.load().sent_us() <= kMaxSentUs, "outcome.load.sent_us");
+      RequireRevision(outcome.load());
       return;
     }
     case wire::Frame::kDemand:
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -47,6 +47,8 @@
       quarantine_(identity_.node, identity_.incarnation),
       last_tick_at_(now) {
   target_selector_.SetNode(identity_.node, identity_.service, identity_.zone);
+  // What an earlier process of this node started on the target is not known.
+  queue_.AssumeStartsFullAt(now);
 }
 
 MeshReducer::~MeshReducer() = default;
@@ -71,6 +73,11 @@
   identity_.bounds = bounds;
   identity_.service = service;
   retry_budget_.SetLimits(bounds.retry);
+  if (!FollowsEvacuations()) {
+    evacuations_ = {};
+    target_selector_.SetEvacuatedZones({});
+  }
+  UpdateWarmupLimit();
 }
 
 NodeStatus MeshReducer::StatusAt(TimePoint now) const {
@@ -90,6 +97,13 @@
   status.polls_config = PollsConfig();
   status.config_outdated = newest_config_version_ > status.config_version &&
                            now - config_outdated_since_ > kPeerConfigTimeout;
+  status.follows_evacuations = FollowsEvacuations();
+  status.evacuated_zones = evacuations_.zones;
+  status.evacuations_era = evacuations_.era;
+  status.evacuations_revision = evacuations_.revision;
+  status.target_serving = IsTargetServing();
+  status.warmup_left = WarmupLeft(now);
+  status.warmup_refusals = warmup_refusals_;
   auto limit = identity_.bounds.max_key_withdrawal_delay * kMaxReadyAgeFraction;
   status.ready = config_ && !stopping_ && member_reads_.done &&
                  now - config_confirmed_at_ < limit;
@@ -165,12 +179,17 @@
     return;
   config_ = event.config;
   service_credits_.clear();
+  UpdateWarmupLimit();
   AdvertiseLoad();
   LogLine(LogCode::kConfigInForce,
           {{"version", std::to_string(config_->version)},
            {"age_ms", ConfigAgeText()}});
 }
 
+void MeshReducer::Handle(const EvacuationsRead& event) {
+  ApplyEvacuations({event.era, event.revision, event.zones});
+}
+
 void MeshReducer::LogLine(
     LogCode code,
     std::vector<std::pair<std::string, std::string>> fields) {
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -37,6 +37,13 @@
   std::chrono::milliseconds shutdown_timeout{6000};
   /// Interval at which the target sends its reports.
   std::chrono::milliseconds report_interval{1500};
+  /// A cold target may get `starts_per_second` of its service's `WarmupRule`,
+  /// times `warmup_overage`, plus `warmup_slack` requests in any second.
+  double warmup_overage = 1;
+  double warmup_slack = 0;
+  /// Longest time from the operator's write of an evacuation until no request
+  /// reaches a target in the zone; 0: evacuations are not followed.
+  std::chrono::milliseconds max_evacuation_delay{0};
 
   bool operator==(const NodeBounds&) const = default;
 };
@@ -81,6 +88,17 @@
   bool polls_config = false;
   /// Another node has a newer version but has not sent it in time.
   bool config_outdated = false;
+  /// The settings enable evacuations, so the node reads them with the
+  /// configuration.
+  bool follows_evacuations = false;
+  std::set<std::string> evacuated_zones;
+  uint64_t evacuations_era = 0;
+  uint64_t evacuations_revision = 0;  ///< 0: the zones are not known.
+  bool target_serving = false;        ///< The target may get new requests.
+  /// Time for which the target counts as cold; 0 if it is warm.
+  std::chrono::milliseconds warmup_left{0};
+  /// Requests refused by the limit of starts of a cold target.
+  uint64_t warmup_refusals = 0;
 };
 
 /// Makes all decisions of one mesh node: which requests it admits, where it
@@ -157,6 +175,8 @@
     /// and the sending time by the peer's clock. A larger difference of a later
     /// message is the delay of that message in transit.
     std::optional<int64_t> clock_offset_us;
+    /// Era and revision of the evacuated zones last sent on it.
+    std::pair<uint64_t, uint64_t> evacuations_sent;
     /// Loads received from the peer that had this node's configuration version.
     uint32_t loads_received = 0;
     std::map<uint64_t, CallId> calls;  ///< Requests sent on it.
@@ -184,6 +204,18 @@
     TimePoint unreachable_until;  ///< Not used until then.
     double failure_ratio = 0;     ///< Smoothed over recent results.
     TimePoint last_answer_at;
+    TimePoint cold_until;  ///< According to its last report.
+    /// Set if it may have become cold at this time, which its next report
+    /// confirms or denies.
+    std::optional<TimePoint> may_be_cold_since;
+    bool missed_reports = false;  ///< Its last report is overdue.
+  };
+
+  /// The evacuated zones, as the store had them at a revision.
+  struct Evacuations {
+    uint64_t era = 0;
+    uint64_t revision = 0;  ///< 0: the zones are not known.
+    std::set<std::string> zones;
   };
 
   /// A target that has announced that it leaves.
@@ -215,6 +247,7 @@
   void Handle(const TargetAnswered& event);
   void Handle(const TargetReported& event);
   void Handle(const ConfigRead& event);
+  void Handle(const EvacuationsRead& event);
   void Handle(const StoreReplied& event);
   void Handle(const Tick& event);
   void Handle(const ShutdownRequested& event);
@@ -273,7 +306,9 @@
                                                 uint64_t sent_us) const;
   /// @return why the work is rejected, or `kNone`.
   Reason RejectionReason(const Work& work) const;
-  void Apply(const TargetQueue::Changes& changes);
+  /// @param refusal_reason why requests that did not start are refused.
+  void Apply(const TargetQueue::Changes& changes,
+             std::string_view refusal_reason = "overload");
   void StartWork(WorkId id);
   void Reply(const Work& work, std::shared_ptr<wire::Outcome> outcome);
   void ReplyWithoutAnswer(const Work& work,
@@ -281,7 +316,24 @@
                           std::string_view reason);
   void CancelWork(WorkId id);
   void EndWork(WorkId id);
+  /// @return whether the target may get new requests, from any node. The only
+  ///     place of this decision.
   bool IsTargetServing() const;
+  bool FollowsEvacuations() const {
+    return identity_.bounds.max_evacuation_delay.count() > 0;
+  }
+  /// @return the limit while the target is cold, or null if there is none.
+  const WarmupRule* FindWarmupRule() const;
+  /// Notes that the target may have become cold at `time`, until its next
+  /// report.
+  void AssumeColdSince(TimePoint time);
+  /// Passes the limit of a cold target and the end of its warm-up to the queue.
+  void UpdateWarmupLimit();
+  /// @return the remaining warm-up, 0 if the target is warm.
+  std::chrono::milliseconds WarmupLeft(TimePoint now) const;
+  /// Counts refusals by the limit of a cold target, and logs them at most once
+  /// a second.
+  void CountWarmupRefusals(uint32_t count);
   bool IsNewerReport(const TargetReport& report) const;
   /// Applies a report. @return why it is ignored, or null.
   const char* ApplyReport(TargetReport report);
@@ -347,6 +399,12 @@
   ///     this one has lost may still admit and retry requests.
   size_t FleetSize() const { return std::max(fleet_size_, NodeCount()); }
   void UpdateLoad(Link& link, const wire::Load& load);
+  /// Uses a set of evacuated zones if its era and revision are higher than
+  /// those of the present one.
+  void ApplyEvacuations(Evacuations evacuations);
+  /// Adds the evacuated zones to a load that is sent on `link`: the revision,
+  /// and the zones if they were not sent on it before.
+  void AddEvacuations(Link& link, wire::Load& load) const;
   /// Requests the newer configuration that the peer on `link` has.
   void RequestConfig(const Link& link);
   void OnConfigWanted(LinkId link, const wire::ConfigWanted& wanted);
@@ -403,6 +461,10 @@
   /// State of the weighted round robin over the services of each route.
   std::map<const Route*, std::vector<double>> service_credits_;
 
+  Evacuations evacuations_;
+  /// The zones changed since this node sent its load on all links.
+  bool evacuations_changed_ = false;
+
   std::unordered_map<CallId, Call> calls_;
   std::set<std::pair<TimePoint, CallId>> call_deadlines_;
   std::unordered_map<WorkId, Work> works_;
@@ -417,6 +479,9 @@
   /// Recent interrupted requests; a crash of the target is attributed to them.
   std::vector<InterruptedWork> interrupted_;
   TargetQueue queue_;
+  uint64_t warmup_refusals_ = 0;
+  uint64_t logged_warmup_refusals_ = 0;
+  TimePoint next_warmup_log_at_;
   TargetSelector target_selector_;
   RetryBudget retry_budget_;
   OrganisationRateLimiter rate_limiter_;
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -106,6 +106,7 @@
     link.last_load_sent_at = now_;
     auto frame = std::make_shared<wire::Frame>();
     *frame->mutable_load() = LocalLoad();
+    AddEvacuations(link, *frame->mutable_load());
     Send(event.link, std::move(frame));
     return;
   }
@@ -281,6 +282,12 @@
                              member->second.record.node().zone());
   }
   target_selector_.Update(link.node, load);
+  if (load.evacuations().has_zones()) {
+    const wire::Evacuations& news = load.evacuations();
+    ApplyEvacuations({news.era(),
+                      news.revision(),
+                      {news.zones().begin(), news.zones().end()}});
+  }
   // The age of the peer's confirmation is the age that it reports plus the
   // transit delay. The first messages on a link may all have been delayed, so
   // they do not count as confirmations.
@@ -300,6 +307,52 @@
   }
 }
 
+void MeshReducer::ApplyEvacuations(Evacuations evacuations) {
+  if (!FollowsEvacuations() ||
+      std::pair(evacuations.era, evacuations.revision) <=
+          std::pair(evacuations_.era, evacuations_.revision))
+    return;
+  Evacuations previous = std::exchange(evacuations_, std::move(evacuations));
+  if (previous.zones == evacuations_.zones && previous.revision != 0)
+    return;
+  auto log_zones = [this](LogCode code, const std::set<std::string>& zones,
+                          const std::set<std::string>& except) {
+    for (const std::string& zone : zones) {
+      if (!except.contains(zone))
+        LogLine(code, {{"zone", zone},
+                       {"revision", std::to_string(evacuations_.revision)},
+                       {"era", std::to_string(evacuations_.era)}});
+    }
+  };
+  log_zones(LogCode::kEvacuationEntered, evacuations_.zones, previous.zones);
+  log_zones(LogCode::kEvacuationLeft, previous.zones, evacuations_.zones);
+  target_selector_.SetEvacuatedZones(evacuations_.zones);
+  evacuations_changed_ = true;
+  bool evacuated = evacuations_.zones.contains(identity_.zone);
+  // The targets of the zone may have become cold while it was evacuated.
+  if (!evacuated && previous.zones.contains(identity_.zone))
+    AssumeColdSince(now_);
+  AdvertiseLoad();
+  // After the load is updated, so that the refused requests are not placed here
+  // again.
+  if (evacuated)
+    Apply(queue_.RefuseAll(), "evacuated");
+}
+
+void MeshReducer::AddEvacuations(Link& link, wire::Load& load) const {
+  if (evacuations_.revision == 0)
+    return;
+  wire::Evacuations* news = load.mutable_evacuations();
+  news->set_era(evacuations_.era);
+  news->set_revision(evacuations_.revision);
+  std::pair version(evacuations_.era, evacuations_.revision);
+  if (std::exchange(link.evacuations_sent, version) == version)
+    return;
+  news->set_has_zones(true);
+  for (const std::string& zone : evacuations_.zones)
+    news->add_zones(zone);
+}
+
 bool MeshReducer::PollsConfig() const {
   size_t pollers = kMinConfigPollers + NodeCount() / kNodesPerConfigPoller;
   uint64_t own_score = Hash("watch/" + identity_.node);
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -256,6 +256,8 @@
   target_.known = true;
   target_.reported_at = now_;
   queue_.SetSlots(report.slots);
+  // It may have been restarted while this node was not running.
+  AssumeColdSince(now_);
   LogLine(LogCode::kTargetChanged, {{"target", report.id},
                                     {"service", report.service},
                                     {"state", "as_recorded"}});
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -17,6 +17,9 @@
 /// Number of report intervals without a report after which a target is no
 /// longer used, if it does not answer requests either.
 constexpr double kMaxMissedReports = 2.5;
+/// The same number after which a target counts as cold: it may have been
+/// restarted. A report that is only late arrives earlier.
+constexpr double kMaxMissedReportsWhileWarm = 1.5;
 /// Time without an answer after which a target that has missed its reports is
 /// no longer used.
 constexpr milliseconds kTargetAnswerTimeout = 1500ms;
@@ -32,6 +35,8 @@
 constexpr milliseconds kBusyLinkWindow = 3000ms;
 constexpr int kMinServerErrorStatus = 500;
 constexpr double kPermille = 1000;
+/// Highest reported rate of starts, in thousandths per second.
+constexpr double kMaxStartRate = 4e9;
 /// A failure of the target within this time after a failed onward call is
 /// attributed to that call.
 constexpr milliseconds kCallFailureWindow = 1500ms;
@@ -41,6 +46,9 @@
 /// answer after more than a second as no confirmation.
 constexpr milliseconds kReportAnswerTimeout = 850ms;
 
+/// Minimum time between two log lines about the limit of a cold target.
+constexpr milliseconds kWarmupLogInterval = 1000ms;
+
 /// Shortens a list of values by rank: its last value applies to all further
 /// ranks, and an empty list means 0 for all.
 void TrimTrailingRepeats(google::protobuf::RepeatedField<uint32_t>& values) {
@@ -92,7 +100,9 @@
   return work.forward->remaining_ms() == 0 ? Reason::kDeadline : Reason::kNone;
 }
 
-void MeshReducer::Apply(const TargetQueue::Changes& changes) {
+void MeshReducer::Apply(const TargetQueue::Changes& changes,
+                        std::string_view refusal_reason) {
+  CountWarmupRefusals(changes.refused_while_cold);
   for (WorkId id : changes.refuse) {
     auto found = works_.find(id);
     if (found == works_.end())
@@ -102,14 +112,14 @@
     LogLine(LogCode::kWorkRejected,
             {{"request_id", work.forward->request_id()},
              {"organisation", work.forward->organisation()},
-             {"reason", "overload"},
+             {"reason", std::string(refusal_reason)},
              {"rank", std::to_string(work.forward->rank())},
              {"in_flight", std::to_string(queue_.in_flight())},
              {"slots", std::to_string(queue_.slots())},
              {"queued", std::to_string(queue_.queued())},
              {"mean_us", std::to_string(queue_.mean_service_time().count())},
              {"useful_ms", std::to_string(work.forward->useful_ms())}});
-    ReplyWithoutAnswer(work, wire::Outcome::NOT_RUN, "overload");
+    ReplyWithoutAnswer(work, wire::Outcome::NOT_RUN, refusal_reason);
   }
   for (WorkId id : changes.start)
     StartWork(id);
@@ -199,12 +209,16 @@
   }
   if (wrong_target && target_.known) {
     target_.known = false;
+    AssumeColdSince(now_);
     LogLine(LogCode::kTargetChanged,
             {{"target", target_.report.id}, {"state", "replaced"}});
     Apply(queue_.RefuseAll());
   }
   if (not_connected && now_ >= target_.unreachable_until) {
     target_.unreachable_until = now_ + kTargetRetryDelay;
+    // If it can be reached again then, it was probably restarted.
+    if (result.connection_refused)
+      AssumeColdSince(target_.unreachable_until);
     if (result.connection_refused && !interrupted_.empty())
       RecordTargetCrash();
     LogLine(LogCode::kTargetChanged,
@@ -242,6 +256,7 @@
     return;
   outcome->set_stream(work.stream);
   *outcome->mutable_load() = LocalLoad();
+  AddEvacuations(link->second, *outcome->mutable_load());
   link->second.last_load_sent_at = now_;
   auto frame = std::make_shared<wire::Frame>();
   *frame->mutable_outcome() = std::move(*outcome);
@@ -285,10 +300,69 @@
 }
 
 bool MeshReducer::IsTargetServing() const {
+  // A node that has just started may have missed an evacuation, so it first
+  // reads the zones.
+  if (FollowsEvacuations() && (evacuations_.revision == 0 ||
+                               evacuations_.zones.contains(identity_.zone)))
+    return false;
   return target_.known && !target_.leaving &&
          now_ >= target_.unreachable_until && queue_.slots() > 0;
 }
 
+const WarmupRule* MeshReducer::FindWarmupRule() const {
+  if (!config_)
+    return nullptr;
+  const std::string& service = target_.report.service.empty()
+                                   ? identity_.service
+                                   : target_.report.service;
+  auto rule = config_->warmup_rules.find(service);
+  return rule == config_->warmup_rules.end() ? nullptr : &rule->second;
+}
+
+void MeshReducer::AssumeColdSince(TimePoint time) {
+  target_.may_be_cold_since =
+      std::max(target_.may_be_cold_since.value_or(time), time);
+  UpdateWarmupLimit();
+}
+
+void MeshReducer::UpdateWarmupLimit() {
+  const WarmupRule* rule = FindWarmupRule();
+  if (!rule) {
+    queue_.SetWarmupRules({});
+    return;
+  }
+  queue_.SetWarmupRules({rule->starts_per_second,
+                         identity_.bounds.warmup_overage,
+                         identity_.bounds.warmup_slack});
+  TimePoint cold_until = target_.cold_until;
+  if (target_.may_be_cold_since) {
+    cold_until =
+        std::max(cold_until, *target_.may_be_cold_since + rule->duration);
+  }
+  queue_.SetColdUntil(cold_until);
+}
+
+milliseconds MeshReducer::WarmupLeft(TimePoint now) const {
+  TimePoint cold_until = FindWarmupRule() ? queue_.warmup_limit().cold_until()
+                                          : target_.cold_until;
+  return std::max(std::chrono::duration_cast<milliseconds>(cold_until - now),
+                  milliseconds(0));
+}
+
+void MeshReducer::CountWarmupRefusals(uint32_t count) {
+  warmup_refusals_ += count;
+  if (warmup_refusals_ == logged_warmup_refusals_ || now_ < next_warmup_log_at_)
+    return;
+  LogLine(
+      LogCode::kWarmupLimitReached,
+      {{"target", target_.report.id},
+       {"refused", std::to_string(warmup_refusals_ - logged_warmup_refusals_)},
+       {"warmup_left_ms", std::to_string(WarmupLeft(now_).count())},
+       {"queued", std::to_string(queue_.queued())}});
+  logged_warmup_refusals_ = warmup_refusals_;
+  next_warmup_log_at_ = now_ + kWarmupLogInterval;
+}
+
 bool MeshReducer::IsNewerReport(const TargetReport& report) const {
   const DepartedTarget* departed = FindDeparted(report.id);
   if (departed && report.started_at_ms <= departed->started_at_ms)
@@ -375,7 +449,15 @@
   target_.report = std::move(merged);
   target_.known = true;
   target_.reported_at = now_;
+  target_.missed_reports = false;
   target_.unreachable_until = TimePoint();
+  if (!report.leaving || report.states_warmup)
+    target_.cold_until = now_ + target_.report.warmup_remaining;
+  if (report.states_warmup)
+    target_.may_be_cold_since.reset();
+  else if (changed)
+    target_.may_be_cold_since = now_;
+  UpdateWarmupLimit();
   if (target_.report.leaving) {
     target_.leaving = true;
     AddDeparted(report.id, target_.report.started_at_ms);
@@ -423,6 +505,12 @@
 void MeshReducer::CheckTargetSilence() {
   if (!target_.known || target_.leaving)
     return;
+  if (!target_.missed_reports &&
+      now_ - target_.reported_at >
+          identity_.bounds.report_interval * kMaxMissedReportsWhileWarm) {
+    target_.missed_reports = true;
+    AssumeColdSince(now_);
+  }
   auto max_silence = identity_.bounds.report_interval * kMaxMissedReports;
   bool overdue = now_ - target_.reported_at > max_silence;
   bool silent = now_ - target_.last_answer_at > kTargetAnswerTimeout;
@@ -472,11 +560,11 @@
     row->set_route(route);
     row->set_time_us(static_cast<uint32_t>(time.count()));
   }
-  auto since =
-      std::chrono::duration_cast<milliseconds>(now_ - target_.reported_at);
-  if (target_.report.warmup_remaining > since) {
-    load.set_warmup_left_ms(static_cast<uint32_t>(
-        (target_.report.warmup_remaining - since).count()));
+  load.set_warmup_left_ms(static_cast<uint32_t>(WarmupLeft(now_).count()));
+  const WarmupLimit& limit = queue_.warmup_limit();
+  if (limit.IsActive(now_)) {
+    load.set_start_rate_milli(static_cast<uint32_t>(
+        std::clamp(limit.starts_per_second() * kPermille, 1.0, kMaxStartRate)));
   }
   return load;
 }
@@ -491,6 +579,10 @@
   changed |= std::exchange(advertised_config_version_, load.config_version()) !=
              load.config_version();
   bool polls_config = PollsConfig();
+  // Only the nodes that read the store send changed zones at once; if all nodes
+  // did, a change would cause a load on each link of the fleet. The others pass
+  // them on with their next load.
+  changed |= std::exchange(evacuations_changed_, false) && polls_config;
   for (auto& [id, link] : links_) {
     if (!link.open || !link.accepted)
       continue;
@@ -503,6 +595,7 @@
     link.last_load_sent_at = now_;
     auto frame = std::make_shared<wire::Frame>();
     *frame->mutable_load() = load;
+    AddEvacuations(link, *frame->mutable_load());
     Send(id, std::move(frame));
   }
 }
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -64,6 +64,12 @@
   gauge("target_slots", status.slots);
   gauge("target_in_flight", status.in_flight);
   gauge("target_queued", status.queued);
+  gauge("evacuated_zones", status.evacuated_zones.size());
+  gauge("evacuations_revision", status.evacuations_revision);
+  gauge("target_serving", status.target_serving ? 1 : 0);
+  gauge("target_warmup_left_ms",
+        static_cast<uint64_t>(status.warmup_left.count()));
+  gauge("warmup_refusals_total", status.warmup_refusals);
   for (size_t i = 0; i < status.failed_calls_permille.size(); ++i) {
     text += "comfreylock_failed_calls_permille{rank=\"" + std::to_string(i) +
             "\"} " + std::to_string(status.failed_calls_permille[i]) + "\n";
--- a/src/mesh/target_queue.cc
+++ b/src/mesh/target_queue.cc
@@ -54,7 +54,7 @@
   state.arrivals = ArrivalsPerSecond(state, now) + 1;
   state.counted_at = now;
   microseconds service = service_time_.Expected(work.route, now);
-  if (waiting_.empty() && HasFreeSlot(kind, now)) {
+  if (waiting_.empty() && HasFreeSlot(kind, now) && CanStartNow(now)) {
     MarkRunning(work.work, work.route, kind, now);
     changes.start.push_back(work.work);
     return changes;
@@ -65,6 +65,9 @@
       static_cast<int64_t>(static_cast<double>((useful_until - now).count()) *
                            UsableTimeFraction(work.onward)));
   if (wait.count() > 0 && wait + service > usable) {
+    microseconds wait_if_warm = WaitForSlot(work.rank, kind, now);
+    if (wait_if_warm.count() == 0 || wait_if_warm + service <= usable)
+      ++changes.refused_while_cold;
     changes.refuse.push_back(work.work);
     return changes;
   }
@@ -123,12 +126,25 @@
     while (auto late = state.queue.PopPastDeadline(now)) {
       EraseWaiting(late->work);
       changes.refuse.push_back(late->work);
+      changes.refused_while_cold += warmup_limit_.IsActive(now) ? 1 : 0;
     }
   }
   StartReady(changes, now);
   return changes;
 }
 
+uint32_t TargetQueue::UsableSlots(TimePoint now) const {
+  uint32_t slots = RunnableSlots(now);
+  if (!warmup_limit_.IsActive(now) || slots == 0)
+    return slots;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  double mean = mean_us_ > 0 ? mean_us_ : kAssumedServiceTimeUs;
+  double used = std::ceil(warmup_limit_.starts_per_second() * mean /
+                          kMicrosecondsPerSecond);
+  return static_cast<uint32_t>(
+      std::clamp(used, 1.0, static_cast<double>(slots)));
+}
+
 TargetQueue::Changes TargetQueue::RefuseAll() {
   Changes changes;
   for (KindState& state : kinds_) {
@@ -162,7 +178,7 @@
 }
 
 uint32_t TargetQueue::SlotsFor(Kind kind, TimePoint now) const {
-  uint32_t limit = UsableSlots(now);
+  uint32_t limit = RunnableSlots(now);
   double slots = limit;
   if (kind == kOnward) {
     bool callers_wait = kinds_[kFromCaller].queue.size() > 0;
@@ -181,7 +197,7 @@
 }
 
 bool TargetQueue::HasFreeSlot(Kind kind, TimePoint now) const {
-  return running_.size() < UsableSlots(now) &&
+  return running_.size() < RunnableSlots(now) &&
          kinds_[kind].running < SlotsFor(kind, now);
 }
 
@@ -205,7 +221,24 @@
 microseconds TargetQueue::ExpectedWait(uint32_t rank,
                                        bool onward,
                                        TimePoint now) const {
-  Kind kind = onward ? kOnward : kFromCaller;
+  return std::max(WaitForSlot(rank, onward ? kOnward : kFromCaller, now),
+                  WaitForWarmup(rank, now));
+}
+
+microseconds TargetQueue::WaitForWarmup(uint32_t rank, TimePoint now) const {
+  if (slots_ == 0 || !warmup_limit_.IsActive(now))
+    return microseconds(0);
+  uint32_t ahead = 0;
+  for (const KindState& state : kinds_) {
+    for (uint32_t rank_index = 0; rank_index <= ClampRank(rank); ++rank_index)
+      ahead += state.waiting[rank_index];
+  }
+  return warmup_limit_.ExpectedWait(ahead, now);
+}
+
+microseconds TargetQueue::WaitForSlot(uint32_t rank,
+                                      Kind kind,
+                                      TimePoint now) const {
   if (HasFreeSlot(kind, now) || slots_ == 0)
     return microseconds(0);
   const KindState& state = kinds_[kind];
@@ -226,10 +259,11 @@
   ++kinds_[kind].running;
   auto running = static_cast<uint32_t>(running_.size() + 1);
   running_[work] = {route, kind, now, running};
+  warmup_limit_.RecordStart(now);
 }
 
 void TargetQueue::StartReady(Changes& changes, TimePoint now) {
-  while (running_.size() < UsableSlots(now)) {
+  while (running_.size() < RunnableSlots(now) && CanStartNow(now)) {
     Kind kind = NextKind(now);
     if (kind == kKindCount)
       return;
--- a/src/mesh/target_queue.h
+++ b/src/mesh/target_queue.h
@@ -14,6 +14,7 @@
 #include "comfreylock/types.h"
 #include "mesh/rank.h"
 #include "mesh/utilisation_limit.h"
+#include "mesh/warmup_limit.h"
 #include "service_time.h"
 
 /// Queue in front of a target: decides which requests run, wait or are refused.
@@ -50,6 +51,9 @@
   struct Changes {
     std::vector<WorkId> start;
     std::vector<WorkId> refuse;
+    /// Number of `refuse` that would have run on a warm target, or that waited
+    /// too long on a cold one.
+    uint32_t refused_while_cold = 0;
   };
 
   /// Sets how many requests the target runs at a time.
@@ -59,6 +63,15 @@
   /// another target has replaced the measured one.
   void OnTargetReplaced() { utilisation_limit_.Reset(); }
 
+  /// Limits starts while the target is cold. The default rules limit nothing.
+  void SetWarmupRules(const WarmupLimitRules& rules) {
+    warmup_limit_.SetRules(rules);
+  }
+  void SetColdUntil(TimePoint until) { warmup_limit_.SetColdUntil(until); }
+  /// See `WarmupLimit::AssumeFullAt`.
+  void AssumeStartsFullAt(TimePoint time) { warmup_limit_.AssumeFullAt(time); }
+  const WarmupLimit& warmup_limit() const { return warmup_limit_; }
+
   /// Offers a request. @return changes, possibly of other requests too.
   Changes Offer(const OfferedWork& work, TimePoint now);
 
@@ -79,10 +92,9 @@
 
   uint32_t slots() const { return slots_; }
   /// @return the number of requests to run at a time, at most `slots()`; fewer
-  ///     if the last slots lower the target's throughput.
-  uint32_t UsableSlots(TimePoint now) const {
-    return utilisation_limit_.UsableSlots(slots_, now);
-  }
+  ///     if the last slots lower the target's throughput, or if a cold target
+  ///     cannot fill them at its rate of starts.
+  uint32_t UsableSlots(TimePoint now) const;
   uint32_t in_flight() const { return static_cast<uint32_t>(running_.size()); }
   uint32_t queued() const { return static_cast<uint32_t>(waiting_.size()); }
 
@@ -124,6 +136,21 @@
     return work.onward ? kOnward : kFromCaller;
   }
   static double ArrivalsPerSecond(const KindState& state, TimePoint now);
+  /// @return the number of requests to run at a time, whatever the rate of
+  ///     starts.
+  uint32_t RunnableSlots(TimePoint now) const {
+    return utilisation_limit_.UsableSlots(slots_, now);
+  }
+  bool CanStartNow(TimePoint now) const {
+    return warmup_limit_.NextStart(now) <= now;
+  }
+  /// @return how long one more request would wait for a slot.
+  std::chrono::microseconds WaitForSlot(uint32_t rank,
+                                        Kind kind,
+                                        TimePoint now) const;
+  /// @return how long one more request would wait for the limit of a cold
+  ///     target.
+  std::chrono::microseconds WaitForWarmup(uint32_t rank, TimePoint now) const;
   /// @return the number of requests of a kind that may run at a time.
   uint32_t SlotsFor(Kind kind, TimePoint now) const;
   bool HasFreeSlot(Kind kind, TimePoint now) const;
@@ -142,6 +169,7 @@
   std::unordered_map<WorkId, Running> running_;
   ServiceTime service_time_;
   UtilisationLimit utilisation_limit_;
+  WarmupLimit warmup_limit_;
   /// End of the last request of each route.
   std::map<std::string, TimePoint> route_finished_at_;
   double mean_us_ = 0;
--- a/src/mesh/target_selector.cc
+++ b/src/mesh/target_selector.cc
@@ -19,6 +19,10 @@
 constexpr double kFailureWeight = 4.0;
 /// Cost factor of a target that is still warming up.
 constexpr double kWarmupCostFactor = 1.5;
+/// Remaining warm-up from which on the additional cost of a cold target with
+/// limited starts is highest. A typical warm-up takes 3 s; below it the cost
+/// falls with the time left, so that requests return step by step.
+constexpr double kWarmupRampMs = 3000;
 /// Time after a request was sent within which its node must be heard from. A
 /// node with requests sends its load every 200 ms, up to 100 ms late.
 constexpr std::chrono::milliseconds kMaxSilence{500};
@@ -161,6 +165,10 @@
   if (rank_index >= 0)
     choice.wait = microseconds(waits[rank_index]);
   // The reported wait does not include requests sent since the report.
+  if (microseconds interval = StartInterval(target); interval.count() > 0) {
+    choice.wait += interval * target.sent_since_load;
+    return choice;
+  }
   uint32_t slots = target.load.slots();
   uint32_t used = target.load.in_flight() + target.sent_since_load;
   if (used >= slots) {
@@ -171,6 +179,14 @@
   return choice;
 }
 
+microseconds TargetSelector::StartInterval(const Target& target) {
+  constexpr int64_t kMicrosecondsPer1000Seconds = 1'000'000'000;
+  if (target.load.warmup_left_ms() == 0 || target.load.start_rate_milli() == 0)
+    return microseconds(0);
+  return microseconds(kMicrosecondsPer1000Seconds /
+                      target.load.start_rate_milli());
+}
+
 double TargetSelector::CallFailureRatio(std::string_view service,
                                         uint32_t rank) const {
   auto nodes = by_service_.find(service);
@@ -203,6 +219,8 @@
                 (1 + kFailureWeight * failures);
   if (target.load.warmup_left_ms() > 0)
     cost *= kWarmupCostFactor;
+  double ramp = std::min(1.0, target.load.warmup_left_ms() / kWarmupRampMs);
+  cost += ramp * static_cast<double>(StartInterval(target).count());
   cost += static_cast<double>(choice.wait.count());
   cost *=
       std::uniform_real_distribution<double>(1, 1 + kMaxCostJitter)(random_);
--- a/src/mesh/target_selector.h
+++ b/src/mesh/target_selector.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
 /// the load that each node reports of its target and from what this node has
 /// sent since. No target is excluded permanently.
 ///
+/// Load pattern: the targets of a zone return to service together, all cold,
+/// and would crash under the zone's former load. A cold target whose starts are
+/// limited counts with the wait at that rate, and costs more the longer its
+/// warm-up still lasts.
+///
 /// Load pattern: the network between two nodes fails without closing their
 /// link. A target whose node has not been heard from since a request was sent
 /// to it is chosen only if there is no other.
@@ -46,6 +52,11 @@
   /// Stores the load that a node reported of its target.
   void Update(const NodeId& node, const wire::Load& load);
 
+  /// Sets the zones whose targets are not chosen.
+  void SetEvacuatedZones(std::set<std::string> zones) {
+    evacuated_zones_ = std::move(zones);
+  }
+
   /// Marks a node as unreachable until its next load report.
   void SetUnreachable(const NodeId& node);
 
@@ -97,9 +108,13 @@
     TimePoint first_sent_at;
   };
 
-  static bool IsUsable(const Target& target) {
-    return target.reachable && target.load.serving() && target.load.slots() > 0;
+  bool IsUsable(const Target& target) const {
+    return target.reachable && target.load.serving() &&
+           target.load.slots() > 0 && !evacuated_zones_.contains(target.zone);
   }
+  /// @return the mean time between two starts that a cold target allows; 0 if
+  ///     its starts are not limited.
+  static std::chrono::microseconds StartInterval(const Target& target);
   /// @return whether the node of the target should have been heard from.
   static bool IsSilent(const Target& target, TimePoint now);
   /// @param typical service time of targets that report none for the route.
@@ -117,6 +132,7 @@
 
   std::string zone_;
   std::mt19937_64 random_;
+  std::set<std::string> evacuated_zones_;
   std::map<NodeId, Target> targets_;
   std::map<std::string, std::vector<NodeId>, std::less<>> by_service_;
 };
--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -76,6 +76,11 @@
   ServeWatches();
 }
 
+void PlatformStoreStandin::Delete(const std::string& key) {
+  Remove(key);
+  ServeWatches();
+}
+
 std::string PlatformStoreStandin::Get(const std::string& key) const {
   auto found = items_.find(key);
   return found == items_.end() ? "" : found->second.value;
--- a/standins/standin_platform.h
+++ b/standins/standin_platform.h
@@ -28,6 +28,9 @@
   /// Writes a key without a lease, as operators do.
   void Put(const std::string& key, const std::string& value);
 
+  /// Deletes a key, as operators do.
+  void Delete(const std::string& key);
+
   /// @return the value, or an empty string.
   std::string Get(const std::string& key) const;
 
