--- a/tests/mesh/fleet_model.cc
+++ b/tests/mesh/fleet_model.cc
@@ -32,10 +32,12 @@
 }  // namespace
 
 FleetModel::FleetModel(std::vector<ModelRoute> routes,
-                       std::vector<ModelTarget> targets)
+                       std::vector<ModelTarget> targets,
+                       ModelOptions options)
     : routes_(std::move(routes)) {
   auto config = std::make_shared<FleetConfig>();
   config->version = 1;
+  config->warmup_rules = options.warmup_rules;
   for (const ModelRoute& from : routes_) {
     Route route;
     route.name = from.name;
@@ -65,6 +67,7 @@
     identity.peer_address = NodeAddress(i);
     identity.target_address = "target" + std::to_string(i);
     identity.seed = i + 1;
+    identity.bounds = options.bounds;
     state->node = std::make_unique<MeshReducer>(identity, now_);
     states_.push_back(std::move(state));
   }
@@ -77,6 +80,7 @@
     report.sequence = 1;
     report.started_at_ms = 1;
     HandleEvent(i, ConfigRead{config, now_});
+    HandleEvent(i, EvacuationsRead{0, store_revision_, {}});
     HandleEvent(i, TargetReported{report});
     HandleEvent(i, Tick{});
   }
@@ -94,6 +98,24 @@
   HandleEvent(target, TargetReported{report});
 }
 
+void FleetModel::Report(size_t target, milliseconds warmup_left) {
+  State& state = *states_[target];
+  TargetReport report;
+  report.id = "target" + std::to_string(target);
+  report.service = state.target.service;
+  report.address = report.id;
+  report.slots = state.target.slots;
+  report.sequence = ++state.sequence;
+  report.started_at_ms = 1;
+  report.states_warmup = true;
+  report.warmup_remaining = warmup_left;
+  HandleEvent(target, TargetReported{report});
+}
+
+void FleetModel::Evacuate(std::set<std::string> zones) {
+  HandleEvent(0, EvacuationsRead{0, ++store_revision_, std::move(zones)});
+}
+
 void FleetModel::Run(milliseconds time) {
   TimePoint end = now_ + time;
   while (now_ < end) {
@@ -263,6 +285,7 @@
   if (++run_counts_[id] > 1 && !run.forward->idempotent())
     ++repeated_runs_;
   ++state.running;
+  starts_.push_back({now_, node});
   max_excess_running_ =
       std::max(max_excess_running_,
                state.running - static_cast<int>(state.target.slots));
--- a/tests/mesh/fleet_model.h
+++ b/tests/mesh/fleet_model.h
@@ -52,9 +52,23 @@
   }
 };
 
+/// Settings of all nodes and of the configuration.
+struct ModelOptions {
+  NodeBounds bounds;
+  std::map<std::string, WarmupRule, std::less<>> warmup_rules;
+};
+
+/// A request that was started on a target.
+struct ModelStart {
+  TimePoint time;
+  size_t target = 0;
+};
+
 class FleetModel {
  public:
-  FleetModel(std::vector<ModelRoute> routes, std::vector<ModelTarget> targets);
+  FleetModel(std::vector<ModelRoute> routes,
+             std::vector<ModelTarget> targets,
+             ModelOptions options = {});
 
   /// Sends requests of a route at a steady rate, to each node in turn.
   void Offer(const std::string& route, double per_second);
@@ -67,6 +81,17 @@
   /// Makes a target report that it is leaving.
   void Leave(size_t target);
 
+  /// Makes a target report its remaining warm-up.
+  void Report(size_t target, std::chrono::milliseconds warmup_left);
+
+  /// Sets the evacuated zones in the store. Only the first node reads them.
+  void Evacuate(std::set<std::string> zones);
+
+  /// @return all requests started on targets so far, in order.
+  const std::vector<ModelStart>& starts() const { return starts_; }
+
+  TimePoint now() const { return now_; }
+
   /// Advances the virtual time.
   void Run(std::chrono::milliseconds time);
 
@@ -133,6 +158,8 @@
   const ModelRoute& RouteByName(const std::string& name) const;
 
   std::vector<ModelRoute> routes_;
+  uint64_t store_revision_ = 1;
+  std::vector<ModelStart> starts_;
   std::vector<std::unique_ptr<State>> states_;
   std::vector<OfferedLoad> offered_loads_;
   std::priority_queue<ScheduledAction> scheduled_;
