--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -36,6 +36,9 @@
      "The target beside this node started, stopped, leaves or is gone."},
     {LogCode::kReportIgnored, LogLevel::kWarning, "report_ignored",
      "A target's report could not be read, is old, or names another target."},
+    {LogCode::kWarmupLimitReached, LogLevel::kWarning, "warmup_limit_reached",
+     "Requests were refused because the target is cold; at most one line a "
+     "second."},
     {LogCode::kStoreFailed, LogLevel::kWarning, "store_failed",
      "The store cannot be reached."},
     {LogCode::kStoreRecovered, LogLevel::kInfo, "store_recovered",
@@ -50,6 +53,10 @@
     {LogCode::kLinkLost, LogLevel::kWarning, "link_lost",
      "A connection to another node ended (closed, silent, replaced), could not "
      "be made (refused) or led to another node (wrong_peer)."},
+    {LogCode::kEvacuationEntered, LogLevel::kWarning, "evacuation_entered",
+     "The operator evacuates a zone: its targets get no new requests."},
+    {LogCode::kEvacuationLeft, LogLevel::kInfo, "evacuation_left",
+     "The evacuation of a zone ended: its targets are used again."},
     {LogCode::kPartitionTaken, LogLevel::kInfo, "partition_taken",
      "This node owns a partition of organisations and once-only keys."},
     {LogCode::kPartitionLost, LogLevel::kWarning, "partition_lost",
