--- a/src/mesh/frame_check.cc
+++ b/src/mesh/frame_check.cc
@@ -5,6 +5,7 @@
 
 #include "comfreylock/types.h"
 #include "http_io.h"
+#include "http_message_rules.h"
 
 namespace comfreylock::mesh {
 namespace {
@@ -12,7 +13,6 @@
 /// Differences of two times of up to half the range do not overflow.
 constexpr uint64_t kMaxSentUs = std::numeric_limits<int64_t>::max() / 2;
 constexpr uint32_t kMinFinalStatus = 200;
-constexpr uint32_t kMaxStatus = 999;
 
 void Require(bool valid, const char* field) {
   if (!valid)
@@ -29,6 +29,12 @@
           "address");
 }
 
+template <typename Fields>
+void RequireFields(const Fields& fields, const char* field) {
+  for (const wire::Field& each : fields)
+    Require(IsToken(each.name()) && IsValidFieldValue(each.value()), field);
+}
+
 }  // namespace
 
 void CheckNodeRecord(const wire::NodeRecord& record, std::string_view node) {
@@ -49,13 +55,18 @@
       return;
     case wire::Frame::kForward:
       Require(frame.forward().sent_us() <= kMaxSentUs, "forward.sent_us");
+      Require(IsToken(frame.forward().method()), "forward.method");
+      Require(IsValidRequestTarget(frame.forward().path()), "forward.path");
+      RequireFields(frame.forward().fields(), "forward.fields");
       return;
     case wire::Frame::kOutcome: {
       const wire::Outcome& outcome = frame.outcome();
       Require(outcome.kind() != wire::Outcome::ANSWERED ||
                   (outcome.status() >= kMinFinalStatus &&
-                   outcome.status() <= kMaxStatus),
+                   IsValidStatus(outcome.status())),
               "outcome.status");
+      Require(IsValidFieldValue(outcome.status_text()), "outcome.status_text");
+      RequireFields(outcome.fields(), "outcome.fields");
       Require(outcome.load().sent_us() <= kMaxSentUs, "outcome.load.sent_us");
       return;
     }
--- a/src/mesh/frame_check.h
+++ b/src/mesh/frame_check.h
@@ -11,8 +11,9 @@
 
 /// @throws InputError if a value of the frame is outside the range that the
 /// reducer expects: a rate that is not a finite number of 0 or more, a sending
-/// time that no clock has, an answer whose status is not a final one, or a
-/// Hello whose address no link can lead to.
+/// time that no clock has, an answer whose status is not in 200 to 599, a
+/// method, path, status text or field that violates the rules for HTTP
+/// messages, or a Hello whose address no link can lead to.
 void CheckFrame(const wire::Frame& frame);
 
 /// @param node the node that the record's key names.
