Reject malformed heads and truncated answers that end with their connection

Causes: (1) Boost.Beast joins folded lines and accepts any three digits as a status, and HttpClient skipped every status below 200 as interim, so that status 000 was held until the time limit. (2) Both clients took an end of stream for the end of a body without a length. A write that fails because of a reset clears the socket's pending error, and the read after it returns an end of stream, so part of an answer to an upload counted as the whole.

Heads pass HttpHeadScanner before the parser gets them, in HttpClient, HttpServer (400) and the product's node (ReadHead). A body that is delimited by the end of the connection is complete only if the request was written completely and the socket shows no sign of a reset (SO_ERROR, TCP_INFO).

HttpTest.RefusesAmbiguousHeads only gets further heads; no test is weakened.

--- a/src/http_entry_server.cc
+++ b/src/http_entry_server.cc
@@ -281,9 +281,7 @@
   }
   stream.expires_never();
   OperationTimeout timeout(stream, limits_.header_timeout);
-  co_await http::async_read_header(
-      stream, buffer, *call.parser,
-      asio::redirect_error(asio::use_awaitable, error));
+  error = co_await comfreylock::ReadHead(stream, buffer, *call.parser);
   if (timeout.expired())
     error = make_error_code(beast::error::timeout);
   co_return error;
--- a/src/http_io.cc
+++ b/src/http_io.cc
@@ -1,6 +1,8 @@
 #include "http_io.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <charconv>
@@ -19,6 +21,9 @@
 using boost::system::system_error;
 
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+/// Bytes read at a time while the head of a message is incomplete; most heads
+/// are smaller.
+constexpr size_t kHeadReadBytes = 4096;
 /// Interim answers (1xx) to one request.
 constexpr int kMaxInterimAnswers = 16;
 /// Time for which a request's last write may still complete after the answer
@@ -37,8 +42,109 @@
          (poll_state.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
+/// @return the parser's error code for a violation.
+error_code ErrorOf(HttpHeadScanner::Error violation) {
+  using Error = HttpHeadScanner::Error;
+  switch (violation) {
+    case Error::kNone:
+      return {};
+    case Error::kBadStatus:
+      return http::make_error_code(http::error::bad_status);
+    case Error::kFoldedLine:
+    case Error::kBadFieldName:
+      return http::make_error_code(http::error::bad_field);
+    case Error::kBadLineEnding:
+      return http::make_error_code(http::error::bad_line_ending);
+    case Error::kNulByte:
+      break;
+  }
+  return http::make_error_code(http::error::bad_value);
+}
+
 }  // namespace
 
+template <bool kIsRequest>
+size_t PutHead(http::basic_parser<kIsRequest>& parser,
+               HttpHeadScanner& scanner,
+               asio::const_buffer bytes,
+               error_code& error) {
+  auto violation =
+      scanner.Scan({static_cast<const char*>(bytes.data()), bytes.size()});
+  if (violation != HttpHeadScanner::Error::kNone) {
+    error = ErrorOf(violation);
+    return 0;
+  }
+  size_t used = parser.put(bytes, error);
+  scanner.Consume(used);
+  // The parser and the scanner must agree where the head ends.
+  if (!error && parser.is_header_done() && !scanner.IsHeadConsumed())
+    error = http::make_error_code(http::error::bad_line_ending);
+  return used;
+}
+
+template size_t PutHead<true>(http::basic_parser<true>&,
+                              HttpHeadScanner&,
+                              asio::const_buffer,
+                              error_code&);
+template size_t PutHead<false>(http::basic_parser<false>&,
+                               HttpHeadScanner&,
+                               asio::const_buffer,
+                               error_code&);
+
+template <bool kIsRequest>
+asio::awaitable<error_code> ReadHead(beast::tcp_stream& stream,
+                                     beast::flat_buffer& buffer,
+                                     http::basic_parser<kIsRequest>& parser) {
+  HttpHeadScanner scanner(kIsRequest ? HttpHeadScanner::MessageKind::kRequest
+                                     : HttpHeadScanner::MessageKind::kResponse);
+  // The parser stops after the head.
+  parser.eager(false);
+  error_code error;
+  while (true) {
+    if (buffer.size() > 0) {
+      size_t used = PutHead(parser, scanner, buffer.data(), error);
+      buffer.consume(used);
+      if (error && error != http::error::need_more)
+        co_return error;
+      if (!error && parser.is_header_done())
+        co_return error;
+    }
+    if (buffer.size() >= buffer.max_size())
+      co_return http::make_error_code(http::error::buffer_overflow);
+    size_t room = std::min(kHeadReadBytes, buffer.max_size() - buffer.size());
+    size_t got = co_await stream.async_read_some(
+        buffer.prepare(room), asio::redirect_error(asio::use_awaitable, error));
+    buffer.commit(got);
+    if (error == asio::error::eof) {
+      co_return http::make_error_code(parser.got_some()
+                                          ? http::error::partial_message
+                                          : http::error::end_of_stream);
+    }
+    if (error)
+      co_return error;
+  }
+}
+
+template asio::awaitable<error_code> ReadHead<true>(beast::tcp_stream&,
+                                                    beast::flat_buffer&,
+                                                    http::basic_parser<true>&);
+template asio::awaitable<error_code> ReadHead<false>(
+    beast::tcp_stream&,
+    beast::flat_buffer&,
+    http::basic_parser<false>&);
+
+bool IsOrderlyEnd(int socket) {
+  int pending_error = 0;
+  socklen_t size = sizeof(pending_error);
+  if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &pending_error, &size) == 0 &&
+      pending_error != 0)
+    return false;
+  tcp_info info{};
+  size = sizeof(info);
+  return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+         size == 0 || info.tcpi_state != TCP_CLOSE;
+}
+
 asio::awaitable<std::string> BufferedBody::Read() {
   co_return std::exchange(data_, {});
 }
@@ -70,6 +176,9 @@
       throw system_error(error);
     size_t got = piece.size() - body.size;
     received_ += got;
+    // Only the end of the connection completes such a body.
+    if (parser_.is_done() && parser_.need_eof() && end_check_ && !end_check_())
+      throw system_error(http::make_error_code(http::error::partial_message));
     if (limit_ && received_ > *limit_)
       throw system_error(http::make_error_code(http::error::body_limit));
     if (got > 0) {
@@ -279,15 +388,19 @@
     parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(boost::none);
     parser_->skip(bodiless);
-    co_await http::async_read_header(stream_, buffer_, *parser_,
-                                     asio::use_awaitable);
+    if (error_code error = co_await ReadHead(stream_, buffer_, *parser_))
+      throw system_error(error);
     unsigned status = parser_->get().result_int();
     if (status == 101)
       throw system_error(http::make_error_code(http::error::bad_status));
     if (status / 100 != 1 || (stop_at_100 && status == 100))
       break;
   }
-  body_ = std::make_unique<ParsedBody<false>>(stream_, buffer_, *parser_);
+  auto body = std::make_unique<ParsedBody<false>>(stream_, buffer_, *parser_);
+  body->set_end_check([this] {
+    return request_written_ && IsOrderlyEnd(stream_.socket().native_handle());
+  });
+  body_ = std::move(body);
   co_return parser_->get().base();
 }
 
--- a/src/http_io.h
+++ b/src/http_io.h
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 
 #include "comfreylock/types.h"
+#include "http_message_rules.h"
 
 /// HTTP/1.1 building blocks on Boost.Beast: streamed bodies, reusable client
 /// connections, and header rules shared by all listeners.
@@ -55,6 +56,37 @@
   virtual asio::awaitable<std::string> Read() = 0;
 };
 
+/// Feeds the head of a message to its parser, after the bytes have been checked
+/// by the rules for HTTP messages.
+/// @param bytes all received bytes that the parser has not consumed.
+/// @param error set to the error of the parser, or to `bad_status`,
+///     `bad_field`, `bad_value`, `bad_line_ending` if the head violates a rule.
+/// @return the number of bytes that the parser has consumed.
+template <bool kIsRequest>
+size_t PutHead(http::basic_parser<kIsRequest>& parser,
+               HttpHeadScanner& scanner,
+               asio::const_buffer bytes,
+               boost::system::error_code& error);
+
+/// Reads the head of a message like `http::async_read_header`, and checks its
+/// bytes by the rules for HTTP messages.
+/// @return the error of the stream, the parser or `PutHead`; also
+/// `http::error::end_of_stream` if the connection ended before the first byte.
+template <bool kIsRequest>
+asio::awaitable<boost::system::error_code> ReadHead(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    http::basic_parser<kIsRequest>& parser);
+
+/// Tells, after an end of stream was read, whether the peer closed the
+/// connection in order. A failed write clears the pending error of a socket, so
+/// that a reset then reads as an end of stream; the connection's state shows it
+/// nevertheless.
+/// @param socket descriptor of the connection.
+/// @return false if the socket has a pending error or its state is "closed"
+/// instead of "close-wait". True if the system does not give the state.
+bool IsOrderlyEnd(int socket);
+
 /// A body that is completely in memory.
 class BufferedBody : public BodyReader {
  public:
@@ -105,10 +137,17 @@
     piece_timeout_ = timeout;
   }
 
+  /// @param check called when the end of the connection ends the body; if it
+  /// returns false, `Read` throws `http::error::partial_message`.
+  void set_end_check(std::function<bool()> check) {
+    end_check_ = std::move(check);
+  }
+
  private:
   beast::tcp_stream& stream_;
   beast::flat_buffer& buffer_;
   Parser& parser_;
+  std::function<bool()> end_check_;
   std::optional<uint64_t> limit_;
   std::optional<std::chrono::milliseconds> piece_timeout_;
   uint64_t received_ = 0;
@@ -185,7 +224,9 @@
   /// @return whether the request was written completely.
   bool request_written() const { return request_written_; }
 
-  /// @return reader of the answer's body, valid until the next exchange.
+  /// @return reader of the answer's body, valid until the next exchange. A body
+  /// that is delimited by the end of the connection is complete only if the
+  /// request was written completely and the peer closed in order.
   BodyReader& body() { return *body_; }
 
   /// @return length of the answer's body, if the answer declares it.
--- a/src/http_operator_server.cc
+++ b/src/http_operator_server.cc
@@ -22,6 +22,14 @@
 constexpr char kJsonContentType[] = "application/json";
 constexpr char kMetricsContentType[] = "text/plain; version=0.0.4";
 
+/// @return whether reading a head failed because of its bytes.
+bool IsMalformed(const error_code& error) {
+  return error.category() ==
+             http::make_error_code(http::error::bad_field).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
 }  // namespace
 
 HttpOperatorServer::HttpOperatorServer(asio::io_context& context,
@@ -64,6 +72,16 @@
       parser.header_limit(kMaxRequestBytes);
       parser.body_limit(kMaxRequestBytes);
       stream.expires_after(kExchangeTimeout);
+      error_code error = co_await ReadHead(stream, buffer, parser);
+      if (IsMalformed(error)) {
+        Response refusal(http::status::bad_request, 11);
+        refusal.keep_alive(false);
+        refusal.prepare_payload();
+        co_await http::async_write(stream, refusal, asio::use_awaitable);
+        break;
+      }
+      if (error)
+        throw system_error(error);
       co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
       const Request& request = parser.get();
       bool drain = false;
--- a/src/http_peer_server.cc
+++ b/src/http_peer_server.cc
@@ -156,8 +156,9 @@
   work->parser.body_limit(boost::none);
   auto& stream = connection->stream;
   stream.expires_after(kEntryNodeIdleTimeout);
-  co_await http::async_read_header(stream, connection->buffer, work->parser,
-                                   asio::use_awaitable);
+  if (error_code error =
+          co_await ReadHead(stream, connection->buffer, work->parser))
+    throw system_error(error);
   stream.expires_never();
   work->head = work->parser.get().base();
   auto context = ReadContext(work->head, node_);
--- a/src/mesh/http_client.cc
+++ b/src/mesh/http_client.cc
@@ -41,7 +41,7 @@
 /// Time before the server's Keep-Alive timeout at which an idle connection is
 /// no longer reused; at most half of that timeout.
 constexpr std::chrono::milliseconds kKeepAliveMargin = 800ms;
-/// Lower statuses are interim answers (1xx), which are skipped.
+/// Lower statuses are interim answers (100 to 199), which are skipped.
 constexpr int kMinFinalStatus = 200;
 
 /// @return the timeout of a Keep-Alive field, or nothing.
@@ -151,6 +151,7 @@
     parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(kMaxAnswerBytes);
     parser_->skip(options_.head_request);
+    head_scanner_.emplace(HttpHeadScanner::MessageKind::kResponse);
     header_done_ = false;
     fields_.clear();
   }
@@ -193,7 +194,7 @@
     asio::async_write(
         socket_, asio::buffer(output_),
         [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          // A failed write makes the read fail as well. The error is left to
+          // After a failed write the read ends as well. The result is left to
           // the read, because the server may have answered before.
           if (!error)
             written_ = true;
@@ -238,7 +239,9 @@
     }
     while (buffer_.size() > 0 && exchange_) {
       error_code error;
-      size_t used = parser_->put(buffer_.data(), error);
+      size_t used = header_done_ ? parser_->put(buffer_.data(), error)
+                                 : PutHead(*parser_, *head_scanner_,
+                                           buffer_.data(), error);
       buffer_.consume(used);
       if (error == http::error::need_more) {
         if (buffer_.size() > kMaxUnparsedBytes)
@@ -266,8 +269,12 @@
       Close();
       return;
     }
+    // An unwritten rest of the request, or a reset, leaves it in doubt whether
+    // the body is complete. A reset can read as an end of stream after a write
+    // has failed.
     if (error == asio::error::eof && parser_->is_header_done() &&
-        parser_->need_eof()) {
+        parser_->need_eof() && written_ &&
+        IsOrderlyEnd(socket_.native_handle())) {
       error_code ignored;
       parser_->put_eof(ignored);
       if (parser_->is_done()) {
@@ -361,6 +368,7 @@
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  std::optional<HttpHeadScanner> head_scanner_;
   ExchangeId exchange_ = 0;
   Options options_;
   Callback done_;
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -201,6 +201,7 @@
     parser_.emplace();
     parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
     parser_->body_limit(limits.max_body_bytes);
+    head_scanner_.emplace(HttpHeadScanner::MessageKind::kRequest);
     fields_.clear();
     header_done_ = false;
     request_started_ = true;
@@ -211,7 +212,9 @@
   /// @return whether the request was complete and was delivered.
   bool ParseRequest() {
     error_code error;
-    size_t used = parser_->put(buffer_.data(), error);
+    size_t used =
+        header_done_ ? parser_->put(buffer_.data(), error)
+                     : PutHead(*parser_, *head_scanner_, buffer_.data(), error);
     buffer_.consume(used);
     if (error == http::error::need_more)
       error = {};
@@ -396,6 +399,7 @@
   asio::ip::tcp::socket socket_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  std::optional<HttpHeadScanner> head_scanner_;
   Fields fields_;
   std::deque<PendingAnswer> pending_answers_;
   std::string output_;
--- a/tests/io/http_test.cc
+++ b/tests/io/http_test.cc
@@ -12,7 +12,9 @@
 #include <boost/asio/post.hpp>
 
 #include "comfreylock/config.h"
+#include "ctl_http.h"
 #include "http_entry_server.h"
+#include "http_operator_server.h"
 #include "http_peer_server.h"
 
 namespace comfreylock {
@@ -76,6 +78,13 @@
   }
   bool reset() const { return reset_; }
   void Close() { socket_.close(); }
+  /// Closes with a reset, after a pause in which the other side may read.
+  void Reset() {
+    std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
   /// May be called while another thread reads.
   void Shutdown() { ::shutdown(socket_.native_handle(), SHUT_RDWR); }
 
@@ -314,6 +323,17 @@
       start + "Content-Length : 3\r\n\r\nabc",
       start + "A: b\nContent-Length: 3\r\n\r\nabc",
       start + "Host: y\r\n\r\n",
+      start + "X Y: z\r\n\r\n",
+      start + "X\x01Y: z\r\n\r\n",
+      start + "X(Y): z\r\n\r\n",
+      start + ": z\r\n\r\n",
+      start + " X: folded\r\n\r\n",
+      start + "X: y\r\n folded\r\n\r\n",
+      start + "X: y\r\n\tfolded\r\n\r\n",
+      start + "X: y\r\n \r\n\r\n",
+      start + "X: a\rb\r\n\r\n",
+      start + "X: a" + std::string(1, '\0') + "b\r\n\r\n",
+      "POST /a HTTP/1.1\r\n Host: x\r\n\r\n",
       "GET /a HTTP/1.1\r\n\r\n",
       "GET /a HTTP/1.1\nHost: x\n\n",
       "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -576,6 +596,148 @@
   EXPECT_TRUE(http10_caller.reset());
 }
 
+// Guards against part of an answer without a length that is forwarded as
+// complete while the upload is still being written: a reset can be seen as a
+// failed write first and as an end of stream after it.
+TEST_F(HttpTest, AnswerWithoutLengthNeedsWrittenRequest) {
+  std::atomic<bool> resets = false;
+  Start([&](TestConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 404 Not Found\r\n\r\npart");
+    if (resets)
+      connection.Reset();
+  });
+  for (bool reset : {false, true}) {
+    resets = reset;
+    for (int run = 0; run < 6; ++run) {
+      TestConnection caller(port_);
+      std::thread sender([&] {
+        caller.Send(
+            "PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99000000\r\n\r\n");
+        std::string piece(1 << 20, 'u');
+        for (int i = 0; i < 64 && caller.Send(piece); ++i) {
+        }
+      });
+      std::string answer = caller.ReadAll();
+      caller.Shutdown();
+      sender.join();
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << reset << answer;
+      EXPECT_TRUE(Contains(answer, "unknown")) << reset << answer;
+      EXPECT_FALSE(Contains(answer, "part")) << reset << answer;
+    }
+  }
+}
+
+// Guards against rejecting the answer of a target that ends its answers with
+// the connection.
+TEST_F(HttpTest, AnswerWithoutLengthIsCompleteAfterOrderlyEnd) {
+  std::string body = "whole";
+  Start([&](TestConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\n\r\n" + body);
+  });
+  EXPECT_TRUE(SendAndReadAll(kGet).ends_with("\r\n\r\nwhole"));
+  body.assign(3'000'000, 'b');
+  EXPECT_TRUE(Contains(SendAndReadAll(kGet), "\r\n0\r\n\r\n"));
+}
+
+// Guards against heads that this node and the caller would read differently,
+// and against waiting for the deadline instead of ending the exchange.
+TEST_F(HttpTest, MalformedAnswerHeadIsRefused) {
+  std::vector<std::string> heads;
+  for (const char* status : {"000", "42", "099", "600", "1000"})
+    heads.push_back(std::string(status) + " OK\r\n");
+  for (const char* line :
+       {"X Y: z", "X\x01Y: z", "X(Y): z", "X : z", ": z", " X: z", "X: a\rb",
+        "X: y\r\n folded", "X: y\r\n\tfolded", "X: y\r\n "})
+    heads.push_back("200 OK\r\n" + std::string(line) + "\r\n");
+  heads.push_back("200 OK\r\nX: a" + std::string(1, '\0') + "b\r\n");
+  std::atomic<size_t> next = 0;
+  std::atomic<size_t> cut = 0;
+  Start([&](TestConnection& connection) {
+    // The node also opens connections without a request, to check whether the
+    // target still accepts them.
+    if (connection.ReadUntil("\r\n\r\n").empty())
+      return;
+    std::string answer =
+        "HTTP/1.1 " + heads[next] + "Content-Length: 8\r\n\r\nthe body";
+    // The node may reject the first piece, and the test end, during the pause.
+    size_t first_size = cut;
+    connection.Send(answer.substr(0, first_size));
+    std::this_thread::sleep_for(2ms);
+    connection.Send(answer.substr(first_size));
+    connection.ReadAll();
+  });
+  for (next = 0; next < heads.size(); ++next) {
+    for (size_t at : {size_t{0}, size_t{9}, heads[next].size() + 8}) {
+      cut = at;
+      auto start = std::chrono::steady_clock::now();
+      std::string answer = SendAndReadAll(kGet);
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << heads[next] << answer;
+      EXPECT_TRUE(Contains(answer, "bad_answer")) << heads[next] << answer;
+      EXPECT_TRUE(Contains(answer, "unknown")) << heads[next] << answer;
+      EXPECT_FALSE(Contains(answer, "the body")) << heads[next];
+      // Less than the deadline of the call.
+      EXPECT_LT(std::chrono::steady_clock::now() - start, 5s) << heads[next];
+    }
+  }
+}
+
+// Guards against an operator's request that its proxy reads differently.
+TEST(HttpOperatorServerTest, MalformedRequestHeadIsRefused) {
+  asio::io_context context;
+  HttpOperatorServer::Callbacks callbacks;
+  callbacks.status = [] { return "{}"; };
+  HttpOperatorServer server(context, callbacks, "t");
+  uint16_t port = 0;
+  {
+    // A port that was free a moment ago.
+    Tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+    port = probe.local_endpoint().port();
+  }
+  server.Listen("127.0.0.1:" + std::to_string(port));
+  std::thread thread([&] { context.run(); });
+  auto send = [&](const std::string& line) {
+    TestConnection caller(port);
+    caller.Send("GET /status HTTP/1.1\r\nHost: h\r\n" + line +
+                "Authorization: Bearer t\r\nConnection: close\r\n\r\n");
+    return caller.ReadAll();
+  };
+  EXPECT_TRUE(send("").starts_with("HTTP/1.1 200"));
+  for (const char* line : {"X: y\r\n folded\r\n", " X: y\r\n", "X Y: z\r\n",
+                           "X : z\r\n", "X: a\rb\r\n"}) {
+    EXPECT_TRUE(send(line).starts_with("HTTP/1.1 400")) << line;
+  }
+  context.stop();
+  thread.join();
+}
+
+// Guards against an answer of a node or of the store that the operator's tool
+// takes as complete or reads differently.
+TEST(CtlHttpTest, UnacceptableAnswerIsAnError) {
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"),
+        std::string("HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok"),
+        std::string("HTTP/1.1 200 OK\r\nX: y\r\n z\r\nContent-Length: "
+                    "2\r\n\r\nok")}) {
+    asio::io_context context;
+    Tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::thread server([&] {
+      TestConnection connection(context, acceptor.accept());
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send(answer);
+      connection.ReadAll();
+    });
+    auto start = std::chrono::steady_clock::now();
+    EXPECT_ANY_THROW(SendCtlRequest(
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+        http::verb::get, "/status", "Bearer x"))
+        << answer;
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 1s) << answer;
+    server.join();
+  }
+}
+
 // Guards against the reuse of a connection to the target whose answer came
 // after the deadline.
 TEST_F(HttpTest, LateAnswerIsNeverDelivered) {
--- a/tests/platform/answer_test.cc
+++ b/tests/platform/answer_test.cc
@@ -252,5 +252,29 @@
   EXPECT_EQ(result.body, "ok");
 }
 
+// Guards against a success that is passed on although its head violates the
+// rules for HTTP messages, and against a line that a target adds to its
+// signature by folding.
+TEST_F(AnswerTest, MalformedHeadIsNoAnswer) {
+  std::vector<std::string> heads;
+  for (const char* line :
+       {" folded", "\tfolded", " folded: x", "X Y: z", "X\x01Y: z", "X : z"})
+    heads.push_back(Head("r1", std::string(line) + "\r\nContent-Length: 6"));
+  for (const char* status : {"000", "099", "600", "42", "1000"}) {
+    std::string head = Head("r1", "Content-Length: 6");
+    heads.push_back(head.replace(head.find("200"), 3, status));
+  }
+  for (const std::string& head : heads) {
+    target_.SetAnswers({head + "of-r1!", ""});
+    auto start = std::chrono::steady_clock::now();
+    mesh::TargetResult result = Send("r1");
+    EXPECT_EQ(result.kind, Kind::kOutcomeUnknown) << head;
+    EXPECT_EQ(result.body, "") << head;
+    // Less than the timeout of the exchange.
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 250ms) << head;
+    Reconnect();
+  }
+}
+
 }  // namespace
 }  // namespace comfreylock::platform
