--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -17,6 +17,8 @@
   kSettingsInvalid = 103,
   kSettingsReloaded = 104,
   kLinesDropped = 105,
+  kMemoryPressureEntered = 106,
+  kMemoryPressureLeft = 107,
   kCallRefused = 200,
   kCallRetried = 201,
   kAttemptFailed = 202,
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -20,6 +20,12 @@
      "The settings file was read again."},
     {LogCode::kLinesDropped, LogLevel::kWarning, "lines_dropped",
      "Log lines were dropped because the log's volume is bounded."},
+    {LogCode::kMemoryPressureEntered, LogLevel::kWarning,
+     "memory_pressure_entered",
+     "The bytes held are near their limit; large bodies are refused, and those "
+     "that have stalled are abandoned."},
+    {LogCode::kMemoryPressureLeft, LogLevel::kInfo, "memory_pressure_left",
+     "The bytes held are well below their limit again."},
     {LogCode::kCallRefused, LogLevel::kInfo, "call_refused",
      "A caller's request was refused."},
     {LogCode::kCallRetried, LogLevel::kInfo, "call_retried",
--- a/src/mesh/http_client.cc
+++ b/src/mesh/http_client.cc
@@ -1,6 +1,7 @@
 #include "mesh/http_client.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 
@@ -27,9 +28,6 @@
 constexpr size_t kReadBytes = 32 * 1024;
 constexpr uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
-/// Limit of the answers that all connections of a client are receiving. Beyond
-/// it the largest of them is given up.
-constexpr size_t kMaxBufferedBytes = 32 * 1024 * 1024 - kReadBytes;
 /// Received bytes that the parser may leave in the buffer because a line, such
 /// as a chunk header, is not complete.
 constexpr size_t kMaxUnparsedBytes = 128 * 1024;
@@ -97,7 +95,7 @@
   }
 
   void StartExchange(ExchangeId exchange,
-                     std::string bytes,
+                     const HttpRequest& request,
                      Options options,
                      Callback done) {
     exchange_ = exchange;
@@ -106,7 +104,10 @@
     discarded_answers_ = 0;
     options_ = std::move(options);
     done_ = std::move(done);
-    output_ = std::move(bytes);
+    output_ = SerializeHead(request);
+    body_ = request.shared_body;
+    if (!body_)
+      output_ += request.body;
     written_ = false;
     StartParser();
     if (!connected_) {
@@ -166,7 +167,7 @@
   }
 
   void ReleaseBufferedBytes() {
-    client_.buffered_bytes_ -= std::exchange(received_bytes_, 0);
+    client_.SubtractBufferedBytes(std::exchange(received_bytes_, 0));
   }
 
   /// Starts the timeout of the exchange, or of the idle connection. The same
@@ -190,14 +191,20 @@
   }
 
   void Write() {
-    asio::async_write(
-        socket_, asio::buffer(output_),
-        [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          // A failed write makes the read fail as well. The error is left to
-          // the read, because the server may have answered before.
-          if (!error)
-            written_ = true;
-        });
+    std::array<asio::const_buffer, 2> buffers = {asio::buffer(output_)};
+    if (body_)
+      buffers[1] = asio::buffer(*body_);
+    asio::async_write(socket_, buffers,
+                      [this, body = body_, self = shared_from_this()](
+                          error_code error, size_t /*bytes*/) {
+                        // A failed write makes the read fail as well. The error
+                        // is left to the read, because the server may have
+                        // answered before.
+                        if (error)
+                          return;
+                        written_ = true;
+                        body_.reset();
+                      });
   }
 
   void Read() {
@@ -222,7 +229,7 @@
     }
     if (exchange_) {
       received_bytes_ += bytes;
-      client_.buffered_bytes_ += bytes;
+      client_.AddBufferedBytes(bytes);
       client_.LimitBufferedBytes();
       if (closed_)
         return;
@@ -325,6 +332,8 @@
     Callback done = std::exchange(done_, nullptr);
     client_.exchanges_.erase(exchange_);
     exchange_ = 0;
+    // May own the request and its body.
+    options_.match = nullptr;
     ReleaseBufferedBytes();
     // If the answer came before the request was written completely, the rest of
     // the request would precede the next one, so the connection is closed.
@@ -365,6 +374,8 @@
   Options options_;
   Callback done_;
   std::string output_;
+  /// Body of the request that is being written; null if it is in `output_`.
+  std::shared_ptr<const std::string> body_;
   std::chrono::milliseconds idle_timeout_;
   Clock::time_point idle_since_;
   Fields fields_;  ///< Of the head of the answer in progress.
@@ -412,8 +423,7 @@
     connections_[connection.get()] = connection;
   }
   exchanges_[id] = connection.get();
-  connection->StartExchange(id, Serialize(request), std::move(options),
-                            std::move(done));
+  connection->StartExchange(id, request, std::move(options), std::move(done));
   return id;
 }
 
@@ -425,8 +435,20 @@
   connection->Close();
 }
 
+void HttpClient::AddBufferedBytes(size_t bytes) {
+  buffered_bytes_ += bytes;
+  if (limits_.budget)
+    limits_.budget->Add(MemoryBudget::Kind::kTargetAnswers, bytes);
+}
+
+void HttpClient::SubtractBufferedBytes(size_t bytes) {
+  buffered_bytes_ -= bytes;
+  if (limits_.budget)
+    limits_.budget->Subtract(MemoryBudget::Kind::kTargetAnswers, bytes);
+}
+
 void HttpClient::LimitBufferedBytes() {
-  while (buffered_bytes_ > kMaxBufferedBytes) {
+  while (buffered_bytes_ > limits_.max_buffered_bytes) {
     auto largest = std::ranges::max_element(
         connections_, {},
         [](const auto& item) { return item.second->received_bytes(); });
--- a/src/mesh/http_client.h
+++ b/src/mesh/http_client.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "mesh/http_types.h"
+#include "mesh/memory_budget.h"
 
 /// An HTTP/1.1 client of one server. It sends one request at a time on each
 /// connection, reuses connections, and reads answers completely.
@@ -59,6 +60,11 @@
     /// Idle time after which a connection is closed. If the server's Keep-Alive
     /// field gives a shorter one, the connection is not reused after that time.
     std::chrono::milliseconds idle_timeout{4000};
+    /// Limit of the answers that all connections are receiving. Beyond it the
+    /// largest of them is given up.
+    size_t max_buffered_bytes = 32 * 1024 * 1024 - 32 * 1024;
+    /// Charged with the answers that are being received; null: none.
+    MemoryBudget* budget = nullptr;
   };
 
   HttpClient(asio::io_context& context, std::string address, Limits limits);
@@ -82,6 +88,8 @@
   /// Gives up the largest answers in progress until the others are within the
   /// limit.
   void LimitBufferedBytes();
+  void AddBufferedBytes(size_t bytes);
+  void SubtractBufferedBytes(size_t bytes);
   void Remove(Connection* connection);
 
   asio::io_context& context_;
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -1,5 +1,7 @@
 #include "mesh/http_server.h"
 
+#include <algorithm>
+#include <cstdio>
 #include <deque>
 #include <optional>
 
@@ -33,9 +35,37 @@
 constexpr std::chrono::milliseconds kWriteTimeout = 20s;
 /// Time for a client to close the connection after its last answer.
 constexpr std::chrono::milliseconds kCloseTimeout = 1s;
-/// A server refuses further requests with a body while the bodies of requests
-/// in progress exceed this size.
-constexpr size_t kMaxBufferedBodyBytes = 96 * 1024 * 1024;
+/// Kernel's receive buffer of a connection, which counts as memory of this
+/// process. Above the product of 200 Mbit/s and a round trip of 2 ms.
+constexpr size_t kReceiveBufferBytes = 64 * 1024;
+/// Memory of a request besides its fields and body.
+constexpr size_t kRequestOverheadBytes = 1024;
+constexpr size_t kFieldOverheadBytes = 80;
+/// Steps in which room for a chunked body is charged.
+constexpr size_t kChargeStepBytes = 64 * 1024;
+/// Size of a chunked body from which its string grows by `kBodyGrowthFactor`.
+/// Unused capacity is no resident memory, and each step copies the body.
+constexpr size_t kMinGrownBodyBytes = 128 * 1024;
+constexpr size_t kBodyGrowthFactor = 4;
+/// Time without progress after which a body or an answer counts as stalled. It
+/// is abandoned then if its memory is needed.
+constexpr std::chrono::milliseconds kStallTime = 700ms;
+/// Bytes of a body that count as progress, so that single bytes do not.
+constexpr size_t kProgressBytes = 4 * 1024;
+/// Interval between two searches for stalled or idle connections that found
+/// none. A search visits all connections.
+constexpr std::chrono::milliseconds kSearchInterval = 20ms;
+/// Answers above this size may be given up for want of memory.
+constexpr size_t kLargeAnswerBytes = 64 * 1024;
+/// Size of a written answer above which its memory is released at once.
+constexpr size_t kMaxKeptOutputBytes = 64 * 1024;
+/// `Retry-After` of requests that are refused for want of memory, spread over
+/// [0.5 s, 1.5 s) so that the clients do not return together.
+constexpr uint64_t kMinRetryAfterMs = 500;
+constexpr uint64_t kRetryAfterSpreadMs = 1000;
+/// Delay after a failed accept, which otherwise fails again at once while no
+/// descriptor is free.
+constexpr std::chrono::milliseconds kAcceptRetryDelay = 50ms;
 
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -48,7 +78,10 @@
 class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(HttpServer& server, asio::ip::tcp::socket socket)
-      : server_(server), socket_(std::move(socket)) {
+      : server_(server),
+        socket_(std::move(socket)),
+        reading_charge_(server.budget_, MemoryBudget::Kind::kReading),
+        answer_charge_(server.budget_, MemoryBudget::Kind::kAnswers) {
     SetTimeout(server_.handlers_.limits().idle_timeout);
   }
 
@@ -63,11 +96,53 @@
         pending.close = true;
       answer.close = pending.close;
       pending.bytes = Serialize(answer, pending.head_request);
+      UpdateAnswerCharge();
+      if (pending.bytes.size() > kLargeAnswerBytes &&
+          !server_.MakeRoom(0, MemoryBudget::Use::kNoBody, this)) {
+        // The request has run, so there is no other answer to send.
+        server_.budget_.CountRefusal();
+        Close();
+        return;
+      }
       break;
     }
     FlushAnswers();
   }
 
+  /// @return since when the connection has held memory without progress, or
+  ///     nothing if it holds none or waits for this node.
+  std::optional<Clock::time_point> StalledSince() const {
+    if (closed_ || final_answer_queued_)
+      return std::nullopt;
+    if (writing_ && sent_.size() > kLargeAnswerBytes)
+      return progress_at_;
+    if (parser_ && header_done_ && reading_charge_.bytes() > 0)
+      return progress_at_;
+    return std::nullopt;
+  }
+
+  /// Gives up the body or the answer that has stalled.
+  void AbandonStalled() {
+    server_.budget_.CountAbandoned();
+    if (writing_ && sent_.size() > kLargeAnswerBytes)
+      Close();
+    else
+      RefuseAndClose(kRequestTimeout);
+  }
+
+  /// @return whether the client has sent bytes that this process has not read
+  ///     yet, so that the delay is its own.
+  bool HasUnreadInput() const {
+    error_code ignored;
+    return socket_.available(ignored) > 0;
+  }
+
+  bool IsIdle() const {
+    return !closed_ && !parser_ && pending_answers_.empty() && !writing_ &&
+           !final_answer_queued_;
+  }
+  Clock::time_point deadline() const { return deadline_; }
+
   void CheckTimeout(Clock::time_point now) {
     if (now < deadline_)
       return;
@@ -96,9 +171,13 @@
     for (const PendingAnswer& pending : pending_answers_) {
       if (pending.call && !pending.answered)
         unanswered.push_back(pending.call);
+      else
+        server_.calls_.erase(pending.call);
     }
     pending_answers_.clear();
-    SubtractBodyBytes(buffered_body_bytes_);
+    reading_charge_.Resize(0);
+    answer_charge_.Resize(0);
+    parser_.reset();
     auto self = shared_from_this();
     server_.connections_.erase(this);
     for (CallId call : unanswered) {
@@ -116,7 +195,7 @@
     bool head_request = false;
     bool close = false;
     bool answered = false;
-    size_t body_bytes = 0;
+    MemoryCharge charge;  ///< For the request.
     std::string bytes;
   };
 
@@ -130,14 +209,50 @@
     server_.unfinished_writes_ += writing ? 1 : -1;
   }
 
-  void AddBodyBytes(size_t bytes) {
-    buffered_body_bytes_ += bytes;
-    server_.body_bytes_ += bytes;
+  /// Charges the answers that are not yet read by the client.
+  void UpdateAnswerCharge() {
+    if (closed_)
+      return;
+    size_t bytes = output_.size() + sent_.size();
+    for (const PendingAnswer& pending : pending_answers_)
+      bytes += pending.bytes.size();
+    answer_charge_.Resize(bytes);
   }
 
-  void SubtractBodyBytes(size_t bytes) {
-    buffered_body_bytes_ -= bytes;
-    server_.body_bytes_ -= bytes;
+  /// Charges the request that is being read with `bytes` in total.
+  /// @return false if there is no room for them.
+  bool ChargeReading(size_t bytes, MemoryBudget::Use use) {
+    if (bytes <= reading_charge_.bytes())
+      return true;
+    if (!server_.MakeRoom(bytes - reading_charge_.bytes(), use, this))
+      return false;
+    reading_charge_.Resize(bytes);
+    return true;
+  }
+
+  /// Charges a chunked body with what the received bytes can add to it.
+  bool ChargeChunkedBody() {
+    std::string& body = parser_->get().body();
+    size_t size = body.size() + buffer_.size();
+    if (size > MemoryBudget::kSmallBodyBytes) {
+      size =
+          (size + kChargeStepBytes - 1) / kChargeStepBytes * kChargeStepBytes;
+    }
+    if (!ChargeReading(head_bytes_ + size, size > MemoryBudget::kSmallBodyBytes
+                                               ? MemoryBudget::Use::kLargeBody
+                                               : MemoryBudget::Use::kSmallBody))
+      return false;
+    if (size > kMinGrownBodyBytes && body.capacity() < size)
+      body.reserve(size * kBodyGrowthFactor);
+    return true;
+  }
+
+  void RecordProgress() {
+    size_t size = parser_->get().body().size();
+    if (size < progress_bytes_ + kProgressBytes)
+      return;
+    progress_bytes_ = size;
+    progress_at_ = Clock::now();
   }
 
   void Read() {
@@ -211,6 +326,10 @@
   /// @return whether the request was complete and was delivered.
   bool ParseRequest() {
     error_code error;
+    if (header_done_ && parser_->chunked() && !ChargeChunkedBody()) {
+      RefuseForMemory();
+      return false;
+    }
     size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
     if (error == http::error::need_more)
@@ -221,6 +340,10 @@
         return false;
       parser_->eager(true);
       if (!parser_->is_done()) {
+        if (parser_->chunked() && !ChargeChunkedBody()) {
+          RefuseForMemory();
+          return false;
+        }
         used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
         if (error == http::error::need_more)
@@ -241,8 +364,10 @@
         RefuseAndClose(kBadRequest);
         return false;
       }
-      if (header_done_)
+      if (header_done_) {
+        RecordProgress();
         SetTimeout(limits.idle_timeout);
+      }
       return false;
     }
     DeliverRequest();
@@ -257,11 +382,23 @@
       RefuseAndClose(kBadRequest);
       return false;
     }
-    for (const auto& field : head)
+    head_bytes_ = kRequestOverheadBytes;
+    for (const auto& field : head) {
       fields_.emplace_back(field.name_string(), field.value());
-    if (server_.body_bytes_ > kMaxBufferedBodyBytes &&
-        parser_->content_length_remaining().value_or(1) > 0) {
-      RefuseAndClose(kUnavailable);
+      head_bytes_ += fields_.back().first.size() +
+                     fields_.back().second.size() + kFieldOverheadBytes;
+    }
+    progress_bytes_ = 0;
+    progress_at_ = Clock::now();
+    // A body with a length is charged completely before it is read, so that it
+    // can be finished once it was begun.
+    size_t length = parser_->content_length_remaining().value_or(0);
+    auto use = length > MemoryBudget::kSmallBodyBytes
+                   ? MemoryBudget::Use::kLargeBody
+               : length > 0 ? MemoryBudget::Use::kSmallBody
+                            : MemoryBudget::Use::kNoBody;
+    if (!ChargeReading(head_bytes_ + length, use)) {
+      RefuseForMemory();
       return false;
     }
     if (head.count(http::field::expect) && !parser_->is_done()) {
@@ -288,8 +425,10 @@
     pending.call = CallId{++server_.last_call_};
     pending.head_request = message.method() == http::verb::head;
     pending.close = !reusable;
-    pending.body_bytes = request.body.size();
-    AddBodyBytes(pending.body_bytes);
+    reading_charge_.Resize(0);
+    pending.charge =
+        MemoryCharge(server_.budget_, MemoryBudget::Kind::kRequests);
+    pending.charge.Resize(head_bytes_ + request.body.size());
     stop_parsing_ = !reusable;
     CallId call = pending.call;
     pending_answers_.push_back(std::move(pending));
@@ -299,15 +438,29 @@
     server_.handlers_.on_request(call, std::move(request));
   }
 
+  /// Refuses a request for which there is no memory.
+  void RefuseForMemory() {
+    server_.budget_.CountRefusal();
+    // 619 and the spread have no common factor, so that all values occur.
+    uint64_t retry_after =
+        kMinRetryAfterMs + ++server_.refusals_ * 619 % kRetryAfterSpreadMs;
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f",
+                  static_cast<double>(retry_after) / 1000);
+    RefuseAndClose(kUnavailable, {{"Retry-After", text}});
+  }
+
   /// Answers a request that cannot be accepted, and closes the connection.
-  void RefuseAndClose(int status) {
+  void RefuseAndClose(int status, Fields fields = {}) {
     parser_.reset();
+    reading_charge_.Resize(0);
     stop_parsing_ = true;
     PendingAnswer pending;
     pending.answered = true;
     pending.close = true;
     HttpAnswer answer;
     answer.status = status;
+    answer.fields = std::move(fields);
     answer.close = true;
     pending.bytes = Serialize(answer, false);
     pending_answers_.push_back(std::move(pending));
@@ -320,9 +473,11 @@
     while (!pending_answers_.empty() && pending_answers_.front().answered &&
            !final_answer_queued_) {
       PendingAnswer& pending = pending_answers_.front();
-      output_ += pending.bytes;
+      if (output_.empty())
+        output_ = std::move(pending.bytes);
+      else
+        output_ += pending.bytes;
       final_answer_queued_ = pending.close;
-      SubtractBodyBytes(pending.body_bytes);
       server_.calls_.erase(pending.call);
       pending_answers_.pop_front();
     }
@@ -332,7 +487,6 @@
       for (const PendingAnswer& pending : pending_answers_) {
         if (pending.call && !pending.answered)
           unanswered.push_back(pending.call);
-        SubtractBodyBytes(pending.body_bytes);
       }
       pending_answers_.clear();
       for (CallId call : unanswered) {
@@ -352,6 +506,7 @@
     }
     SetWriting(true);
     sent_ = std::exchange(output_, {});
+    progress_at_ = Clock::now();
     SetTimeout(kWriteTimeout);
     asio::async_write(
         socket_, asio::buffer(sent_),
@@ -363,6 +518,10 @@
             Close();
             return;
           }
+          sent_.clear();
+          if (sent_.capacity() > kMaxKeptOutputBytes)
+            sent_.shrink_to_fit();
+          UpdateAnswerCharge();
           Write();
         });
   }
@@ -401,7 +560,12 @@
   std::string output_;
   std::string sent_;
   Clock::time_point deadline_;
-  size_t buffered_body_bytes_ = 0;
+  MemoryCharge reading_charge_;  ///< For the request that is being read.
+  MemoryCharge answer_charge_;
+  size_t head_bytes_ = 0;      ///< Memory of the head of the request.
+  size_t progress_bytes_ = 0;  ///< Size of the body at `progress_at_`.
+  /// When the body or the answer last made progress.
+  Clock::time_point progress_at_;
   bool header_done_ = false;
   bool request_started_ = false;
   bool reading_ = false;
@@ -414,15 +578,23 @@
 };
 
 HttpServer::HttpServer(asio::io_context& context, Handlers handlers)
+    : HttpServer(context, std::move(handlers), Bounds()) {}
+
+HttpServer::HttpServer(asio::io_context& context,
+                       Handlers handlers,
+                       Bounds bounds)
     : context_(context),
       handlers_(std::move(handlers)),
+      budget_(bounds.budget ? *bounds.budget : own_budget_),
+      max_connections_(bounds.max_connections),
       acceptor_(context),
-      timeout_check_timer_(context) {}
+      timeout_check_timer_(context),
+      accept_timer_(context) {}
 
 HttpServer::~HttpServer() = default;
 
 void HttpServer::Listen(const std::string& address) {
-  acceptor_ = ListenOn(context_, address);
+  acceptor_ = ListenOn(context_, address, kReceiveBufferBytes);
   Accept();
   ScheduleTimeoutCheck();
 }
@@ -440,7 +612,14 @@
                                 asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted)
       return;
-    if (!error) {
+    if (error) {
+      CloseIdleConnection();
+      AcceptLater();
+      return;
+    }
+    // Without an idle connection to close, the new one is closed when `socket`
+    // goes out of scope. Its client has not sent a request that was read.
+    if (connections_.size() < max_connections_ || CloseIdleConnection()) {
       error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       auto connection = std::make_shared<Connection>(*this, std::move(socket));
@@ -451,6 +630,64 @@
   });
 }
 
+void HttpServer::AcceptLater() {
+  accept_timer_.expires_after(kAcceptRetryDelay);
+  accept_timer_.async_wait([this](error_code error) {
+    if (!error)
+      Accept();
+  });
+}
+
+bool HttpServer::CloseIdleConnection() {
+  auto now = Clock::now();
+  if (now < next_idle_search_)
+    return false;
+  std::shared_ptr<Connection> longest;
+  for (const auto& [key, connection] : connections_) {
+    // All idle connections have the same timeout.
+    if (connection->IsIdle() &&
+        (!longest || connection->deadline() < longest->deadline()))
+      longest = connection;
+  }
+  if (!longest) {
+    next_idle_search_ = now + kSearchInterval;
+    return false;
+  }
+  longest->Close();
+  return true;
+}
+
+bool HttpServer::MakeRoom(size_t bytes, MemoryBudget::Use use) {
+  return MakeRoom(bytes, use, nullptr);
+}
+
+bool HttpServer::MakeRoom(size_t bytes,
+                          MemoryBudget::Use use,
+                          const Connection* except) {
+  if (budget_.Admits(bytes, use))
+    return true;
+  auto now = Clock::now();
+  if (now < next_stall_search_ || bytes > budget_.LimitOf(use))
+    return false;
+  std::vector<std::pair<Clock::time_point, std::shared_ptr<Connection>>>
+      stalled;
+  for (const auto& [key, connection] : connections_) {
+    auto since = connection->StalledSince();
+    if (key != except && since && now - *since >= kStallTime)
+      stalled.emplace_back(*since, connection);
+  }
+  std::ranges::sort(stalled);
+  for (const auto& [since, connection] : stalled) {
+    if (connection->HasUnreadInput())
+      continue;
+    connection->AbandonStalled();
+    if (budget_.Admits(bytes, use))
+      return true;
+  }
+  next_stall_search_ = now + kSearchInterval;
+  return false;
+}
+
 void HttpServer::ScheduleTimeoutCheck() {
   timeout_check_timer_.expires_after(kTimeoutCheckInterval);
   timeout_check_timer_.async_wait([this](error_code error) {
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "mesh/http_types.h"
+#include "mesh/memory_budget.h"
 
 /// An HTTP/1.1 server that reads complete requests, also pipelined ones, and
 /// sends the answers in the order of the requests.
@@ -33,7 +34,17 @@
     std::function<CallerLimits()> limits;
   };
 
+  /// Bounds of what the server holds.
+  struct Bounds {
+    /// Charged with requests and answers; must outlive the server. Null: the
+    /// server has one of its own.
+    MemoryBudget* budget = nullptr;
+    /// Connections above which idle ones are closed, or else new ones.
+    size_t max_connections = 4096;
+  };
+
   HttpServer(asio::io_context& context, Handlers handlers);
+  HttpServer(asio::io_context& context, Handlers handlers, Bounds bounds);
   ~HttpServer();
 
   /// @param address IP:PORT. @throws std::exception if it cannot be bound.
@@ -45,27 +56,44 @@
   /// Answers a request; does nothing if the client has disconnected.
   void Respond(CallId call, HttpAnswer answer);
 
+  /// Makes room for `bytes` more: abandons the bodies and answers that have
+  /// stalled, the one that has stalled longest first.
+  /// @return whether the budget then admits them for `use`.
+  bool MakeRoom(size_t bytes, MemoryBudget::Use use);
+
   size_t connections() const { return connections_.size(); }
   /// @return connections on which answers are still being written.
   size_t unfinished_writes() const { return unfinished_writes_; }
-  /// @return total size of the bodies of requests in progress.
-  size_t body_bytes() const { return body_bytes_; }
 
  private:
   class Connection;
 
+  /// @param except not abandoned; the connection that needs the room.
+  bool MakeRoom(size_t bytes, MemoryBudget::Use use, const Connection* except);
   void Accept();
+  void AcceptLater();
+  /// Closes the connection that has been idle longest.
+  /// @return false if none is idle.
+  bool CloseIdleConnection();
   void ScheduleTimeoutCheck();
 
   asio::io_context& context_;
   Handlers handlers_;
+  MemoryBudget own_budget_;
+  MemoryBudget& budget_;
+  size_t max_connections_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer timeout_check_timer_;
+  asio::steady_timer accept_timer_;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
   std::unordered_map<CallId, std::weak_ptr<Connection>> calls_;
   uint64_t last_call_ = 0;
-  size_t body_bytes_ = 0;
   size_t unfinished_writes_ = 0;
+  /// Next time at which `MakeRoom` looks for stalled connections.
+  std::chrono::steady_clock::time_point next_stall_search_;
+  /// The same for `CloseIdleConnection`.
+  std::chrono::steady_clock::time_point next_idle_search_;
+  uint64_t refusals_ = 0;  ///< Spreads the values of `Retry-After`.
   bool close_after_answers_ = false;
 };
 
--- a/src/mesh/http_types.cc
+++ b/src/mesh/http_types.cc
@@ -95,9 +95,9 @@
   });
 }
 
-std::string Serialize(const HttpRequest& request) {
+std::string SerializeHead(const HttpRequest& request) {
   std::string text;
-  text.reserve(512 + request.body.size());
+  text.reserve(512);
   text += request.method;
   text += ' ';
   text += request.request_target;
@@ -105,14 +105,17 @@
   AppendFields(text, request.fields);
   if (request.has_body) {
     text += "Content-Length: ";
-    text += std::to_string(request.body.size());
+    text += std::to_string(request.Body().size());
     text += "\r\n";
   }
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
+std::string Serialize(const HttpRequest& request) {
+  return SerializeHead(request) + request.Body();
+}
+
 std::string Serialize(const HttpAnswer& answer, bool to_head_request) {
   std::string text;
   text.reserve(256 + answer.body.size());
--- a/src/mesh/http_types.h
+++ b/src/mesh/http_types.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYLOCK_MESH_HTTP_TYPES_H_
 #define COMFREYLOCK_MESH_HTTP_TYPES_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -15,7 +16,11 @@
   std::string request_target;
   Fields fields;
   std::string body;
+  /// If set, the body instead of `body`; sent without a copy.
+  std::shared_ptr<const std::string> shared_body;
   bool has_body = false;
+
+  const std::string& Body() const { return shared_body ? *shared_body : body; }
 };
 
 struct HttpAnswer {
@@ -49,6 +54,10 @@
 /// Removes hop-by-hop fields and those that frame the body.
 void RemoveConnectionFields(Fields& fields);
 
+/// @return the bytes of a request with Content-Length framing, without the
+/// body.
+std::string SerializeHead(const HttpRequest& request);
+
 /// @return the bytes of a request with Content-Length framing.
 std::string Serialize(const HttpRequest& request);
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -1,7 +1,12 @@
 #include "mesh/link_hub.h"
 
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+#include <google/protobuf/io/coded_stream.h>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "http_io.h"
@@ -28,13 +33,73 @@
 /// Set in the ids that this class assigns to accepted links, so that they
 /// differ from the ids that the reducer assigns to the links it opens.
 constexpr uint64_t kAcceptedLinkBit = uint64_t{1} << 63;
+/// Larger bodies of requests are sent in parts of this size. A part takes 2.6
+/// ms at 200 Mbit/s, for which other frames wait.
+constexpr size_t kPartBytes = 64 * 1024;
+/// Size of a buffer of received bytes above which it is not kept for later.
+constexpr size_t kMaxKeptBufferBytes = 256 * 1024;
+/// Bytes that the kernel may hold of a link without having sent them. Its
+/// default lets megabytes of a body queue ahead of other frames.
+constexpr size_t kMaxKernelUnsentBytes = 128 * 1024;
+/// Memory of a request besides its serialised form: objects of the reducer.
+constexpr size_t kFrameOverheadBytes = 1024;
+/// Delay after a failed accept, which otherwise fails again at once while no
+/// descriptor is free.
+constexpr std::chrono::milliseconds kAcceptRetryDelay = 50ms;
+
+/// A received frame and the charge for it.
+struct ChargedFrame {
+  wire::Frame frame;
+  MemoryCharge charge;
+};
+
+void AppendLengthPrefix(std::string& bytes, size_t size) {
+  for (size_t i = 0; i < kLengthPrefixBytes; ++i)
+    bytes += static_cast<char>(size >> (8 * (kLengthPrefixBytes - 1 - i)));
+}
+
+void AppendVarint(std::string& bytes, uint64_t value) {
+  std::array<uint8_t, 10> buffer{};
+  uint8_t* end = google::protobuf::io::CodedOutputStream::WriteVarint64ToArray(
+      value, buffer.data());
+  bytes.append(reinterpret_cast<const char*>(buffer.data()),
+               static_cast<size_t>(end - buffer.data()));
+}
+
+/// @return the tag of a length-delimited field in the encoding of protobuf.
+constexpr uint64_t TagOf(int field) {
+  constexpr uint64_t kLengthDelimited = 2;
+  return static_cast<uint64_t>(field) << 3 | kLengthDelimited;
+}
+
+/// @return the bytes of a frame with a BodyPart up to its data, which the
+///     caller writes after them, so that they need not be copied.
+std::string PartHead(uint64_t stream, size_t data_bytes) {
+  std::string part;
+  AppendVarint(part, uint64_t{wire::BodyPart::kStreamFieldNumber} << 3);
+  AppendVarint(part, stream);
+  AppendVarint(part, TagOf(wire::BodyPart::kDataFieldNumber));
+  AppendVarint(part, data_bytes);
+  std::string frame;
+  AppendVarint(frame, TagOf(wire::Frame::kBodyPartFieldNumber));
+  AppendVarint(frame, part.size() + data_bytes);
+  frame += part;
+  std::string bytes;
+  AppendLengthPrefix(bytes, frame.size() + data_bytes);
+  return bytes + frame;
+}
 
 }  // namespace
 
 class LinkHub::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(LinkHub& hub, LinkId id, asio::ip::tcp::socket socket)
-      : hub_(hub), id_(id), socket_(std::move(socket)), timer_(hub.context_) {}
+      : hub_(hub),
+        id_(id),
+        socket_(std::move(socket)),
+        timer_(hub.context_),
+        input_charge_(hub.budget_, MemoryBudget::Kind::kLinkInput),
+        output_charge_(hub.budget_, MemoryBudget::Kind::kLinkOutput) {}
 
   void Open(const std::string& address) {
     asio::ip::tcp::endpoint endpoint;
@@ -62,18 +127,47 @@
   void Send(const wire::Frame& frame) {
     if (closed_)
       return;
-    size_t size = frame.ByteSizeLong();
-    size_t at = output_.size();
-    output_.resize(at + kLengthPrefixBytes + size);
-    auto* bytes = reinterpret_cast<uint8_t*>(output_.data() + at);
-    for (size_t i = 0; i < kLengthPrefixBytes; ++i)
-      bytes[i] =
-          static_cast<uint8_t>(size >> (8 * (kLengthPrefixBytes - 1 - i)));
-    frame.SerializeWithCachedSizesToArray(bytes + kLengthPrefixBytes);
-    if (output_.size() > kMaxUnsentBytes) {
-      FailLater();
+    if (frame.has_cancel())
+      RemoveOutgoingBody(frame.cancel().stream());
+    if (frame.has_outcome() && frame.outcome().body().size() > kPartBytes &&
+        !hub_.admission_(frame.outcome().body().size(),
+                         MemoryBudget::Use::kSmallBody)) {
+      // The answer cannot be held until the other node reads it, and the target
+      // has run the request.
+      hub_.budget_.CountRefusal();
+      wire::Frame unknown;
+      unknown.mutable_outcome()->set_stream(frame.outcome().stream());
+      unknown.mutable_outcome()->set_kind(wire::Outcome::UNKNOWN);
+      unknown.mutable_outcome()->set_reason("memory");
+      *unknown.mutable_outcome()->mutable_load() = frame.outcome().load();
+      Append(unknown);
       return;
     }
+    Append(frame);
+  }
+
+  /// Sends a request, a large body in parts if the peer accepts them.
+  void SendForward(const std::shared_ptr<wire::Forward>& forward) {
+    // The frame refers to the request without owning it, which saves a copy of
+    // the body.
+    wire::Frame frame;
+    frame.unsafe_arena_set_allocated_forward(forward.get());
+    size_t size = forward->body().size();
+    if (!peer_accepts_parts_ || size <= kPartBytes) {
+      Send(frame);
+      frame.unsafe_arena_release_forward();
+      return;
+    }
+    // The body is taken out for as long as the head is serialised. Its bytes
+    // stay where they are.
+    std::string body;
+    forward->mutable_body()->swap(body);
+    forward->set_body_size(size);
+    Send(frame);
+    forward->clear_body_size();
+    forward->mutable_body()->swap(body);
+    frame.unsafe_arena_release_forward();
+    outgoing_.push_back({forward->stream(), forward, 0});
     ScheduleFlush();
   }
 
@@ -84,10 +178,53 @@
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
+    outgoing_.clear();
+    incoming_.clear();
+    input_charge_.Resize(0);
+    output_charge_.Resize(0);
     hub_.links_.erase(id_);
   }
 
  private:
+  /// A request whose body is being sent in parts.
+  struct OutgoingBody {
+    uint64_t stream = 0;
+    std::shared_ptr<const wire::Forward> forward;
+    size_t sent = 0;  ///< Bytes of the body.
+  };
+
+  /// A request whose body is being received in parts.
+  struct IncomingRequest {
+    std::shared_ptr<ChargedFrame> frame;
+    std::chrono::steady_clock::time_point started_at;
+  };
+
+  void Append(const wire::Frame& frame) {
+    size_t size = frame.ByteSizeLong();
+    AppendLengthPrefix(output_, size);
+    size_t at = output_.size();
+    output_.resize(at + size);
+    frame.SerializeWithCachedSizesToArray(
+        reinterpret_cast<uint8_t*>(output_.data() + at));
+    UpdateOutputCharge();
+    if (output_.size() > kMaxUnsentBytes) {
+      FailLater();
+      return;
+    }
+    ScheduleFlush();
+  }
+
+  void UpdateOutputCharge() {
+    if (!closed_)
+      output_charge_.Resize(output_.size() + sent_.size());
+  }
+
+  void RemoveOutgoingBody(uint64_t stream) {
+    std::erase_if(outgoing_, [stream](const OutgoingBody& body) {
+      return body.stream == stream;
+    });
+  }
+
   void StartHandshakeTimer() {
     timer_.expires_after(kHandshakeTimeout);
     timer_.async_wait([this, self = shared_from_this()](error_code error) {
@@ -98,6 +235,7 @@
 
   void StartHandshake() {
     SetSocketOptions(socket_, kPeerTcpUserTimeout);
+    LimitUnsentBytes(socket_, kMaxKernelUnsentBytes);
     wire::Frame frame;
     *frame.mutable_hello() = hub_.hello_;
     connected_ = true;
@@ -136,23 +274,45 @@
     });
   }
 
+  /// Writes the waiting frames, or else the next part of a body.
   void Flush() {
-    if (closed_ || writing_ || output_.empty())
+    if (closed_ || writing_ || (output_.empty() && outgoing_.empty()))
       return;
+    std::array<asio::const_buffer, 2> buffers;
+    std::shared_ptr<const wire::Forward> body_owner;
+    if (!output_.empty()) {
+      sent_ = std::exchange(output_, {});
+    } else {
+      OutgoingBody next = std::move(outgoing_.front());
+      outgoing_.pop_front();
+      const std::string& body = next.forward->body();
+      size_t size = std::min(kPartBytes, body.size() - next.sent);
+      sent_ = PartHead(next.stream, size);
+      buffers[1] = asio::buffer(body.data() + next.sent, size);
+      body_owner = next.forward;
+      next.sent += size;
+      // Bodies take turns, so that a large one does not delay the others.
+      if (next.sent < body.size())
+        outgoing_.push_back(std::move(next));
+    }
+    buffers[0] = asio::buffer(sent_);
     SetWriting(true);
-    sent_ = std::exchange(output_, {});
-    hub_.sent_bytes_ += sent_.size();
-    asio::async_write(
-        socket_, asio::buffer(sent_),
-        [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          if (closed_)
-            return;
-          SetWriting(false);
-          if (error)
-            Fail();
-          else
-            Flush();
-        });
+    hub_.sent_bytes_ += asio::buffer_size(buffers);
+    asio::async_write(socket_, buffers,
+                      [this, body_owner, self = shared_from_this()](
+                          error_code error, size_t /*bytes*/) {
+                        if (closed_)
+                          return;
+                        SetWriting(false);
+                        sent_.clear();
+                        if (sent_.capacity() > kMaxKeptBufferBytes)
+                          sent_.shrink_to_fit();
+                        UpdateOutputCharge();
+                        if (error)
+                          Fail();
+                        else
+                          Flush();
+                      });
   }
 
   void Read() {
@@ -171,8 +331,12 @@
           hub_.received_bytes_ += bytes;
           if (InterpretInput([this] { ParseFrames(); }))
             Fail();
-          if (!closed_)
-            Read();
+          if (closed_)
+            return;
+          if (input_.empty() && input_.capacity() > kMaxKeptBufferBytes)
+            input_.shrink_to_fit();
+          input_charge_.Resize(input_.size());
+          Read();
         });
   }
 
@@ -186,32 +350,136 @@
         Fail();
         return;
       }
-      if (input_.size() - at - kLengthPrefixBytes < size)
+      if (input_.size() - at - kLengthPrefixBytes < size) {
+        // Other nodes send large frames only if they do not send parts.
+        if (size > kMaxKeptBufferBytes && input_.capacity() < size) {
+          if (!hub_.admission_(size, MemoryBudget::Use::kLargeBody))
+            throw InputError("no memory for a frame");
+          input_.erase(0, std::exchange(at, 0));
+          input_.reserve(size + kLengthPrefixBytes + kReadBytes);
+        }
         break;
-      auto frame = std::make_shared<wire::Frame>();
+      }
+      auto charged = std::make_shared<ChargedFrame>();
+      std::shared_ptr<wire::Frame> frame(charged, &charged->frame);
       if (!frame->ParseFromArray(input_.data() + at + kLengthPrefixBytes,
                                  static_cast<int>(size)))
         throw InputError("frame cannot be parsed");
       CheckFrame(*frame);
       at += kLengthPrefixBytes + size;
-      HandleFrame(std::move(frame));
+      HandleFrame(std::move(charged), size);
     }
     input_.erase(0, at);
   }
 
-  void HandleFrame(std::shared_ptr<wire::Frame> frame) {
-    if (hello_received_) {
-      hub_.event_sink_(FrameReceived{id_, std::move(frame)});
+  /// @param size serialised size of the frame, bytes.
+  void HandleFrame(std::shared_ptr<ChargedFrame> charged, size_t size) {
+    wire::Frame& frame = charged->frame;
+    if (!hello_received_) {
+      if (!frame.has_hello()) {
+        Fail();
+        return;
+      }
+      hello_received_ = true;
+      peer_accepts_parts_ = frame.hello().body_parts();
+      timer_.cancel();
+      bool accepted = (id_.value & kAcceptedLinkBit) != 0;
+      hub_.event_sink_(LinkOpened{id_, frame.hello(), accepted});
       return;
     }
-    if (!frame->has_hello()) {
-      Fail();
-      return;
+    switch (frame.body_case()) {
+      case wire::Frame::kForward:
+        if (!HoldRequest(charged, size))
+          return;
+        break;
+      case wire::Frame::kBodyPart:
+        AddPart(frame.body_part());
+        return;
+      case wire::Frame::kCancel:
+        // The request has not reached the target if its body is incomplete.
+        if (incoming_.erase(frame.cancel().stream()) > 0) {
+          RejectRequest(frame.cancel().stream(), "cancelled");
+          return;
+        }
+        break;
+      case wire::Frame::kOutcome:
+        RemoveOutgoingBody(frame.outcome().stream());
+        break;
+      default:
+        break;
     }
-    hello_received_ = true;
-    timer_.cancel();
-    bool accepted = (id_.value & kAcceptedLinkBit) != 0;
-    hub_.event_sink_(LinkOpened{id_, frame->hello(), accepted});
+    PassOn(charged);
+  }
+
+  void PassOn(const std::shared_ptr<ChargedFrame>& charged) {
+    hub_.event_sink_(FrameReceived{
+        id_, std::shared_ptr<wire::Frame>(charged, &charged->frame)});
+  }
+
+  /// Charges a request, or rejects it if there is no room.
+  /// @return whether it is complete and can be passed on.
+  bool HoldRequest(const std::shared_ptr<ChargedFrame>& charged, size_t size) {
+    wire::Forward& forward = *charged->frame.mutable_forward();
+    size_t body_size =
+        std::max<size_t>(forward.body().size(), forward.body_size());
+    if (forward.body_size() > kMaxFrameBytes)
+      throw InputError("forward.body_size is out of range");
+    size += kFrameOverheadBytes + forward.body_size();
+    auto use = body_size == 0 ? MemoryBudget::Use::kNoBody
+               : body_size <= MemoryBudget::kSmallBodyBytes
+                   ? MemoryBudget::Use::kSmallBody
+                   : MemoryBudget::Use::kLargeBody;
+    if (!hub_.admission_(size, use)) {
+      hub_.budget_.CountRefusal();
+      RejectRequest(forward.stream(), "memory");
+      return false;
+    }
+    charged->charge =
+        MemoryCharge(hub_.budget_, MemoryBudget::Kind::kLinkInput);
+    charged->charge.Resize(size);
+    if (forward.body_size() == 0)
+      return true;
+    forward.clear_body();
+    forward.mutable_body()->reserve(forward.body_size());
+    incoming_[forward.stream()] = {charged, std::chrono::steady_clock::now()};
+    return false;
+  }
+
+  void AddPart(const wire::BodyPart& part) {
+    auto found = incoming_.find(part.stream());
+    // The parts of a rejected request arrive until the peer has read that.
+    if (found == incoming_.end())
+      return;
+    std::shared_ptr<ChargedFrame> charged = found->second.frame;
+    wire::Forward& forward = *charged->frame.mutable_forward();
+    if (part.data().size() > forward.body_size() - forward.body().size())
+      throw InputError("body part is too long");
+    forward.mutable_body()->append(part.data());
+    if (forward.body().size() < forward.body_size())
+      return;
+    // The time for the parts counts against the deadline, and not as a delay of
+    // the head in transit.
+    auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now() - found->second.started_at);
+    incoming_.erase(found);
+    forward.clear_body_size();
+    forward.set_sent_us(forward.sent_us() +
+                        static_cast<uint64_t>(elapsed.count()));
+    auto elapsed_ms = static_cast<uint32_t>(elapsed / 1ms);
+    forward.set_remaining_ms(forward.remaining_ms() -
+                             std::min(forward.remaining_ms(), elapsed_ms));
+    forward.set_useful_ms(forward.useful_ms() -
+                          std::min(forward.useful_ms(), elapsed_ms));
+    PassOn(charged);
+  }
+
+  /// Answers a request that this node does not run.
+  void RejectRequest(uint64_t stream, const char* reason) {
+    wire::Frame frame;
+    frame.mutable_outcome()->set_stream(stream);
+    frame.mutable_outcome()->set_kind(wire::Outcome::NOT_RUN);
+    frame.mutable_outcome()->set_reason(reason);
+    Append(frame);
   }
 
   LinkHub& hub_;
@@ -221,8 +489,13 @@
   std::string input_;
   std::string output_;
   std::string sent_;
+  MemoryCharge input_charge_;
+  MemoryCharge output_charge_;
+  std::deque<OutgoingBody> outgoing_;
+  std::unordered_map<uint64_t, IncomingRequest> incoming_;  ///< By stream.
   bool connected_ = false;
   bool hello_received_ = false;
+  bool peer_accepts_parts_ = false;
   bool writing_ = false;
   bool flush_scheduled_ = false;
   bool closed_ = false;
@@ -230,11 +503,16 @@
 
 LinkHub::LinkHub(asio::io_context& context,
                  wire::Hello hello,
-                 EventSink event_sink)
+                 EventSink event_sink,
+                 MemoryBudget& budget,
+                 Admission admission)
     : context_(context),
       hello_(std::move(hello)),
       event_sink_(std::move(event_sink)),
-      acceptor_(context) {}
+      budget_(budget),
+      admission_(std::move(admission)),
+      acceptor_(context),
+      accept_timer_(context) {}
 
 LinkHub::~LinkHub() {
   while (!links_.empty()) {
@@ -259,8 +537,14 @@
               std::make_shared<Connection>(*this, id, std::move(socket));
           links_[id] = connection;
           connection->StartAccepted();
+          Accept();
+          return;
         }
-        Accept();
+        accept_timer_.expires_after(kAcceptRetryDelay);
+        accept_timer_.async_wait([this](error_code wait_error) {
+          if (!wait_error)
+            Accept();
+        });
       });
 }
 
@@ -287,15 +571,8 @@
 }
 
 void LinkHub::Apply(const SendForward& effect) {
-  auto connection = Find(effect.link);
-  if (!connection)
-    return;
-  // The frame refers to the request without owning it, which saves a copy of
-  // the body.
-  wire::Frame frame;
-  frame.unsafe_arena_set_allocated_forward(effect.forward.get());
-  connection->Send(frame);
-  frame.unsafe_arena_release_forward();
+  if (auto connection = Find(effect.link))
+    connection->SendForward(effect.forward);
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -8,8 +8,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "mesh/events.h"
+#include "mesh/memory_budget.h"
 
 /// Connections between nodes, over which they exchange length-prefixed frames.
 namespace comfreylock::mesh {
@@ -19,10 +21,18 @@
 class LinkHub {
  public:
   using EventSink = std::function<void(EventBody)>;
+  /// @return whether that many bytes more may be held; may make room for them.
+  using Admission = std::function<bool(size_t bytes, MemoryBudget::Use use)>;
 
   /// @param hello sent first on each connection.
   /// @param event_sink receives the events of all links.
-  LinkHub(asio::io_context& context, wire::Hello hello, EventSink event_sink);
+  /// @param budget charged with what is received and what is not yet sent; must
+  ///     outlive the hub and the frames that it has passed on.
+  LinkHub(asio::io_context& context,
+          wire::Hello hello,
+          EventSink event_sink,
+          MemoryBudget& budget,
+          Admission admission);
   ~LinkHub();
 
   /// @param address IP:PORT. @throws std::exception if it cannot be bound.
@@ -48,7 +58,10 @@
   asio::io_context& context_;
   wire::Hello hello_;
   EventSink event_sink_;
+  MemoryBudget& budget_;
+  Admission admission_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   std::map<LinkId, std::shared_ptr<Connection>> links_;
   uint64_t last_accepted_ = 0;
   size_t unfinished_writes_ = 0;
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -174,7 +174,9 @@
     case wire::Frame::kForward: {
       link.last_forward_at = now_;
       Work work{WorkId{++last_id_}, event.link, frame.forward().stream()};
-      work.forward = std::shared_ptr<wire::Forward>(frame.release_forward());
+      // Shares the ownership of the frame, which carries the charge for it.
+      work.forward =
+          std::shared_ptr<wire::Forward>(event.frame, frame.mutable_forward());
       // The caller may have disconnected while the request was delayed on a
       // full link or at a node without processor time.
       microseconds delay = MeasureTransitDelay(link, work.forward->sent_us());
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -13,11 +13,26 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
+/// Largest size of the answers that the target is sending, and the fraction of
+/// the memory limit that they may have at most.
+constexpr size_t kMaxTargetAnswerBytes = size_t{31} * 1024 * 1024;
+constexpr size_t kTargetAnswerFraction = 4;
+
 /// Short timeouts, since the target is on the same host.
-constexpr HttpClient::Limits kTargetLimits{
-    .connect_timeout = 300ms,
-    .tcp_user_timeout = kTargetTcpUserTimeout,
-    .idle_timeout = 4000ms};
+HttpClient::Limits TargetLimits(MemoryBudget& budget) {
+  return {.connect_timeout = 300ms,
+          .tcp_user_timeout = kTargetTcpUserTimeout,
+          .idle_timeout = 4000ms,
+          .max_buffered_bytes = std::min(
+              kMaxTargetAnswerBytes, budget.limit() / kTargetAnswerFraction),
+          .budget = &budget};
+}
+
+size_t MaxCallerConnections(const MeshRuntimeSettings& settings,
+                            const MemoryBudget& budget) {
+  return std::min(MaxCallerDescriptors(settings.max_descriptors),
+                  budget.MaxConnections());
+}
 
 /// Delay of a wake-up above which new requests are refused.
 constexpr milliseconds kMaxEventLoopLag = 250ms;
@@ -31,6 +46,7 @@
   hello.set_zone(identity.zone);
   hello.set_boot(identity.incarnation);
   hello.set_address(AddressForPeers(identity));
+  hello.set_body_parts(true);
   return hello;
 }
 
@@ -46,6 +62,7 @@
       log_(log),
       caller_protocol_(caller_protocol),
       target_protocol_(target_protocol),
+      budget_(settings_.memory_bytes),
       reducer_(
           std::make_unique<MeshReducer>(settings_.identity, ReadNodeClock())),
       caller_server_(context,
@@ -59,11 +76,19 @@
                       [this] {
                         const FleetConfig* config = reducer_->config();
                         return config ? config->limits : CallerLimits();
-                      }}),
-      target_client_(context, settings_.identity.target_address, kTargetLimits),
-      links_(context,
-             MakeHello(settings_.identity),
-             [this](EventBody event) { Feed(std::move(event)); }),
+                      }},
+                     {&budget_, MaxCallerConnections(settings_, budget_)}),
+      target_client_(context,
+                     settings_.identity.target_address,
+                     TargetLimits(budget_)),
+      links_(
+          context,
+          MakeHello(settings_.identity),
+          [this](EventBody event) { Feed(std::move(event)); },
+          budget_,
+          [this](size_t bytes, MemoryBudget::Use use) {
+            return caller_server_.MakeRoom(bytes, use);
+          }),
       wake_timer_(context) {}
 
 MeshRuntime::~MeshRuntime() = default;
@@ -139,10 +164,23 @@
                                                                next_tick_at_);
     next_tick_at_ = TimePoint();
     Feed(Tick{caller_server_.unfinished_writes() + links_.unfinished_writes()});
+    UpdatePressure();
     log_.Flush();
   });
 }
 
+void MeshRuntime::UpdatePressure() {
+  auto changed = budget_.UpdatePressure(ReadNodeClock());
+  if (!changed)
+    return;
+  Log(*changed ? LogCode::kMemoryPressureEntered : LogCode::kMemoryPressureLeft,
+      {{"held_bytes", std::to_string(budget_.held())},
+       {"limit_bytes", std::to_string(budget_.limit())},
+       {"refused", std::to_string(budget_.refusals())},
+       {"abandoned", std::to_string(budget_.abandoned())},
+       {"connections", std::to_string(caller_server_.connections())}});
+}
+
 void MeshRuntime::Reconfigure(const NodeBounds& bounds,
                               const std::string& service) {
   reducer_->Reconfigure(bounds, service);
@@ -167,6 +205,16 @@
   counter("peer_sent_bytes", links_.sent_bytes());
   counter("peer_received_bytes", links_.received_bytes());
   counter("log_lines_dropped", log_.dropped());
+  for (size_t i = 0; i < MemoryBudget::kKindCount; ++i) {
+    auto kind = static_cast<MemoryBudget::Kind>(i);
+    counter(
+        "held_bytes{kind=\"" + std::string(MemoryBudget::NameOf(kind)) + "\"}",
+        budget_.held(kind));
+  }
+  counter("held_bytes_limit", budget_.limit());
+  counter("memory_pressure", budget_.under_pressure() ? 1 : 0);
+  counter("memory_refusals_total", budget_.refusals());
+  counter("memory_abandoned_total", budget_.abandoned());
   return text;
 }
 
--- a/src/mesh/mesh_runtime.h
+++ b/src/mesh/mesh_runtime.h
@@ -14,6 +14,7 @@
 #include "mesh/http_server.h"
 #include "mesh/line_log.h"
 #include "mesh/link_hub.h"
+#include "mesh/memory_budget.h"
 #include "mesh/mesh_reducer.h"
 #include "mesh/metrics.h"
 #include "mesh/protocol.h"
@@ -25,6 +26,10 @@
 struct MeshRuntimeSettings {
   NodeIdentity identity;
   std::string caller_address;  ///< IP:PORT of the listener for callers.
+  /// Memory that the process may use, bytes.
+  size_t memory_bytes = MemoryBudget::kDefaultMemoryBytes;
+  /// Descriptors that the process may have open.
+  size_t max_descriptors = 4096;
 };
 
 class MeshRuntime {
@@ -71,6 +76,9 @@
 
   NodeStatus status() const;
 
+  /// @return the bound on what the process holds; valid as long as the runtime.
+  MemoryBudget& budget() { return budget_; }
+
   /// @return the node's metrics in the text format of Prometheus.
   std::string MetricsText() const;
 
@@ -85,6 +93,8 @@
   void CountAnswer(CallId call, const std::string& result);
   void Reduce(EventBody event);
   void ScheduleWake();
+  /// Logs the state of memory pressure when it changes.
+  void UpdatePressure();
 
   void Apply(const DeliverAnswer& effect);
   void Apply(const RefuseCall& effect);
@@ -108,6 +118,7 @@
   StoreClient* store_ = nullptr;
   ConfigDecoder config_decoder_;
   std::function<void(const ReplyToReport&)> report_responder_;
+  MemoryBudget budget_;  ///< Outlives all that charges it.
   std::unique_ptr<MeshReducer> reducer_;
   HttpServer caller_server_;
   HttpClient target_client_;
--- a/src/mesh/socket_options.h
+++ b/src/mesh/socket_options.h
@@ -22,14 +22,22 @@
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket,
                       std::chrono::milliseconds tcp_user_timeout);
 
+/// Limits the bytes that the kernel accepts for sending ahead of their
+/// transmission, so that data written later does not queue behind megabytes.
+/// @param bytes unsent bytes above which the socket is not writable.
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& socket, size_t bytes);
+
 /// @return whether the peer has closed the connection and all its data was
 /// read.
 bool IsClosedByPeer(boost::asio::ip::tcp::socket& socket);
 
 /// @return a listening socket.
 /// @param address IP:PORT. @throws std::exception if it cannot be bound.
+/// @param receive_buffer_bytes size of the kernel's receive buffer of each
+///     accepted connection; 0: chosen by the kernel, up to several megabytes.
 boost::asio::ip::tcp::acceptor ListenOn(boost::asio::io_context& context,
-                                        const std::string& address);
+                                        const std::string& address,
+                                        size_t receive_buffer_bytes = 0);
 
 }  // namespace comfreylock::mesh
 
--- a/tests/mesh/peer_input_test.cc
+++ b/tests/mesh/peer_input_test.cc
@@ -34,6 +34,12 @@
   return "127.0.0.1:" + std::to_string(27'000 + getpid() % 300 * 3 + offset);
 }
 
+LinkHub::Admission AdmissionOf(MemoryBudget& budget) {
+  return [&budget](size_t bytes, MemoryBudget::Use use) {
+    return budget.Admits(bytes, use);
+  };
+}
+
 /// Bytes that make a parser throw instead of reporting an error code.
 std::vector<std::string> LargeTrailers() {
   return {std::string(70'000, 'x') + ": x\r\n\r\n",
@@ -279,11 +285,13 @@
   int opened = 0;
   int closed = 0;
   int frames = 0;
-  LinkHub hub(context, wire::Hello(), [&](EventBody event) {
+  MemoryBudget budget;
+  auto sink = [&](EventBody event) {
     opened += std::holds_alternative<LinkOpened>(event) ? 1 : 0;
     closed += std::holds_alternative<LinkClosed>(event) ? 1 : 0;
     frames += std::holds_alternative<FrameReceived>(event) ? 1 : 0;
-  });
+  };
+  LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
   hub.Listen(Address(1));
   std::vector<std::string> all = UnacceptableFrames();
   for (const std::string& frame : all)
@@ -319,11 +327,13 @@
 TEST(PeerInputTest, ErrorOfFrameHandlerClosesItsLinkOnly) {
   asio::io_context context;
   int closed = 0;
-  LinkHub hub(context, wire::Hello(), [&](EventBody event) {
+  MemoryBudget budget;
+  auto sink = [&](EventBody event) {
     if (std::holds_alternative<FrameReceived>(event))
       throw std::out_of_range("frame");
     closed += std::holds_alternative<LinkClosed>(event) ? 1 : 0;
-  });
+  };
+  LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
   hub.Listen(Address(2));
   wire::Frame load;
   load.mutable_load()->set_slots(1);
@@ -339,10 +349,12 @@
         "0.0.0.0:0"}) {
     asio::io_context context;
     std::vector<uint64_t> closed;
-    LinkHub hub(context, wire::Hello(), [&](EventBody event) {
+    MemoryBudget budget;
+    auto sink = [&](EventBody event) {
       if (const auto* link = std::get_if<LinkClosed>(&event))
         closed.push_back(link->link.value);
-    });
+    };
+    LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
     hub.Apply(OpenLink{LinkId{7}, address});
     EXPECT_TRUE(closed.empty()) << address;
     context.run_for(1500ms);
