Add a removed member again when it says Hello

A Hello that arrived within 2 s of the removal of its node was ignored, and a node whose link stays open sends no other. The node is added, and connected to once the delay has passed. Removing a member that could not be connected to counts as refused, not as replaced.

--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -327,24 +327,19 @@
   wire::NodeRecord record;
   *record.mutable_node() = peer;
   record.set_address(peer.address());
+  Greeting& greeting = greetings_[peer.node()];
   // The node is running. If another one answered at its address shortly before,
-  // this is tried again only after a delay or if the Hello tells more.
-  auto gone = gone_members_.find(peer.node());
-  if (gone != gone_members_.end()) {
-    if (now_ - gone->second.since < kMinBackoffResetInterval &&
-        IsRecordOfGoneMember(peer.node(), record)) {
-      return;
-    }
-    gone_members_.erase(peer.node());
+  // that is tried again only after a delay.
+  if (auto gone = gone_members_.extract(peer.node())) {
+    greeting.incarnation =
+        std::max(greeting.incarnation, gone.mapped().incarnation);
+    greeting.backoff_reset_at =
+        std::max(greeting.backoff_reset_at, gone.mapped().since);
   }
-  Greeting& greeting = greetings_[peer.node()];
   bool restarted = peer.boot() > greeting.incarnation;
   greeting.incarnation = std::max(greeting.incarnation, peer.boot());
   bool due =
       restarted || now_ - greeting.backoff_reset_at >= kMinBackoffResetInterval;
-  // A member without a record is removed when it refuses a connection.
-  if (!due && !members_.contains(peer.node()))
-    return;
   auto [found, added] = members_.try_emplace(peer.node());
   Member& member = found->second;
   member.linked_at = now_;
@@ -352,6 +347,11 @@
     greeting.backoff_reset_at = now_;
     member.next_connect_at = now_;
     member.backoff = milliseconds(0);
+  } else if (added) {
+    // Was removed meanwhile, as a member without a record is when it refuses a
+    // connection.
+    member.next_connect_at =
+        greeting.backoff_reset_at + kMinBackoffResetInterval;
   }
   ApplyNodeRecord(peer.node(), record);
   if (!added)
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -433,7 +433,7 @@
   target_selector_.RemoveNode(node);
   LogLine(LogCode::kMemberChanged, {{"peer", node}, {"state", "gone"}});
   if (link)
-    CloseLinkOf(link, LinkEnd::kReplaced);
+    CloseLinkOf(link, LinkEnd::kRefused);
 }
 
 }  // namespace comfreylock::mesh
--- a/tests/mesh/reused_address_test.cc
+++ b/tests/mesh/reused_address_test.cc
@@ -457,6 +457,25 @@
   EXPECT_TRUE(IsLinked(back, opener));
 }
 
+// Two nodes use one address for a moment, and the earlier one keeps running and
+// links to this one. Guards against a node that stays unknown although its
+// Hello says that it runs.
+TEST_F(ReusedAddressTest, HelloOfRemovedNodeAddsItAgain) {
+  Node& opener = Start("opener", kAddressA);
+  Node& node = Start("node", kAddressB);
+  Run(5s);
+  Node& other = Start("other", kAddressB);
+  CloseLinksOf(node);
+  Run(1s);
+  EXPECT_EQ(opener.lost_reasons["wrong_peer"], 1);
+  Lose(other);
+  listeners_[kAddressB] = &node;
+  CloseLinksOf(node);
+  Run(2500ms);
+  EXPECT_TRUE(IsLinked(opener, node));
+  EXPECT_TRUE(IsLinked(node, opener));
+}
+
 // Rolling restart: the node comes back at its address within a second.
 TEST_F(ReusedAddressTest, RestartedNodeIsLinkedAtOnce) {
   Node& opener = Start("opener", kAddressA);
