--- a/tests/mesh/evacuation_test.cc
+++ b/tests/mesh/evacuation_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
+
+#include "mesh/frame_check.h"
 
 /// Evacuation of a zone: the decisions of one reducer, event by event.
 namespace comfreylock::mesh {
@@ -351,6 +354,37 @@
   EXPECT_EQ(EvacuatedZones(), Zones{});
 }
 
+// Guards against a node that serves without knowing the zones after its
+// settings enabled evacuations, and against one that keeps them afterwards.
+TEST_F(EvacuationTest, ChangedSettingsEnableAndDisable) {
+  NodeBounds enabled = identity_.bounds;
+  identity_.bounds.max_evacuation_delay = 0ms;
+  Start();
+  Report();
+  node_->Reconfigure(enabled, "shop");
+  EXPECT_TRUE(node_->StatusAt(now_).follows_evacuations);
+  EXPECT_TRUE(All<RunOnTarget>(SendCall()).empty());
+  Feed(EvacuationsRead{0, 20, {"a"}});
+  EXPECT_TRUE(All<RunOnTarget>(SendCall()).empty());
+  node_->Reconfigure(identity_.bounds, "shop");
+  Advance(10ms);
+  EXPECT_EQ(All<RunOnTarget>(SendCall()).size(), 1u);
+}
+
+// Guards against a faulty peer whose set would hide all later ones.
+TEST(EvacuationFrameTest, RevisionThatNoStoreReachesIsRejected) {
+  wire::Frame frame;
+  frame.mutable_load()->mutable_evacuations()->set_revision(1u << 30);
+  EXPECT_NO_THROW(CheckFrame(frame));
+  frame.mutable_load()->mutable_evacuations()->set_revision(
+      std::numeric_limits<uint64_t>::max());
+  EXPECT_THROW(CheckFrame(frame), InputError);
+  wire::Frame outcome;
+  outcome.mutable_outcome()->set_kind(wire::Outcome::NOT_RUN);
+  *outcome.mutable_outcome()->mutable_load() = frame.load();
+  EXPECT_THROW(CheckFrame(outcome), InputError);
+}
+
 // An operator sees from the log when a zone was evacuated and by which
 // revision.
 TEST_F(EvacuationTest, LogsZonesThatEnterAndLeave) {
