Give retries first to calls of requests that have completed others

Cause: a service at the end of the call graph sheds 0.55 of its requests, and a caller's request needs four calls to it in sequence. The retry budget was spent on whichever call failed first, mostly on first calls of requests that failed at a later one.

Change: a retry belongs to a class, by the completed calls of the request that made the call and by the importance of the route. The first class is limited by the budget alone, the others get what the demand of the classes before them leaves. The total budget is unchanged. Metric comfreylock_retries_total by class and result.

--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -86,6 +86,7 @@
   status.links = links_.size();
   for (uint32_t i = 0; i < kRankCount; ++i)
     status.failed_calls_permille[i] = call_failures_.FailurePermille(i, now);
+  status.retries = retry_budget_.counts();
   status.stopping = stopping_;
   status.polls_config = PollsConfig();
   status.config_outdated = newest_config_version_ > status.config_version &&
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -75,6 +75,7 @@
   /// overload, in thousandths, indexed by the rank of the request that made
   /// them.
   std::array<uint32_t, kRankCount> failed_calls_permille{};
+  RetryCounts retries;  ///< Retries that the budget granted and denied.
   bool ready = false;
   bool stopping = false;
   /// This node polls the store for the configuration; other nodes rely on it.
@@ -140,6 +141,8 @@
     std::shared_ptr<wire::Forward> forward;
     TimePoint deadline;
     bool started = false;
+    /// Onward calls of it that have succeeded.
+    uint32_t completed_calls = 0;
   };
 
   /// A connection to another node.
@@ -251,6 +254,10 @@
   /// refuses the call.
   void OnOutcome(Call& call, std::shared_ptr<wire::Outcome> outcome);
   bool CanRetry(const Call& call) const;
+  /// Acquires a retry from the budget. @return whether there is one.
+  bool AcquireRetry(const Call& call);
+  /// Counts a successful onward call at the request that made it.
+  void CountCompletedCall(const wire::Forward& forward);
   /// Releases the attempt in progress; the call itself goes on.
   void EndAttempt(Call& call);
   void Refuse(Call& call, Reason reason, std::chrono::milliseconds retry_after);
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -163,6 +163,11 @@
   return Reason::kNone;
 }
 
+void MeshReducer::CountCompletedCall(const wire::Forward& forward) {
+  if (const Work* parent = FindParentWork(forward))
+    ++works_.at(parent->id).completed_calls;
+}
+
 const MeshReducer::Work* MeshReducer::FindParentWork(
     const wire::Forward& forward) const {
   // In practice the id of an onward call is the id of the request that made it,
@@ -284,6 +289,14 @@
          now_ < call.deadline && !IsQuarantined(*call.forward);
 }
 
+bool MeshReducer::AcquireRetry(const Call& call) {
+  const Work* parent = FindParentWork(*call.forward);
+  InvestedWork invested{call.forward->onward(),
+                        parent ? parent->completed_calls : 0};
+  return retry_budget_.TryAcquire(call.service, invested, call.forward->rank(),
+                                  FleetSize(), now_);
+}
+
 void MeshReducer::OnOutcome(Call& call,
                             std::shared_ptr<wire::Outcome> outcome) {
   EndAttempt(call);
@@ -297,11 +310,12 @@
                              failed && outcome->calls_overloaded());
       // If the target's onward calls fail, those of another target would too.
       if (failed && !outcome->calls_failing() && CanRetry(call) &&
-          retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                   FleetSize(), now_)) {
+          AcquireRetry(call)) {
         call.may_have_run = true;
         break;
       }
+      if (!failed)
+        CountCompletedCall(*call.forward);
       CallId id = call.id;
       effects_.push_back(DeliverAnswer{id, std::move(outcome)});
       RemoveDeadline(call);
@@ -317,8 +331,7 @@
       if (!target_selector_.HasUntriedTarget(call.service, call.tried_nodes))
         call.tried_nodes.clear();
       call.shed = true;
-      if (!retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                    FleetSize(), now_)) {
+      if (!AcquireRetry(call)) {
         Refuse(call, Reason::kOverload,
                JitterRetryAfter(kDefaultRetryAfterDelay));
         return;
@@ -327,9 +340,7 @@
     default:
       ++call.run_count;
       call.may_have_run = true;
-      if (!CanRetry(call) ||
-          !retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                    FleetSize(), now_)) {
+      if (!CanRetry(call) || !AcquireRetry(call)) {
         bool expired = now_ >= call.deadline || outcome->reason() == "deadline";
         Refuse(call, expired ? Reason::kDeadline : Reason::kTargetFailed,
                milliseconds(0));
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -68,6 +68,16 @@
     text += "comfreylock_failed_calls_permille{rank=\"" + std::to_string(i) +
             "\"} " + std::to_string(status.failed_calls_permille[i]) + "\n";
   }
+  for (size_t i = 0; i < kRetryClassCount; ++i) {
+    auto counter = [&](const char* result, uint64_t count) {
+      if (count == 0)
+        return;
+      text += "comfreylock_retries_total{class=\"" + std::to_string(i) +
+              "\",result=\"" + result + "\"} " + std::to_string(count) + "\n";
+    };
+    counter("granted", status.retries.granted[i]);
+    counter("denied", status.retries.denied[i]);
+  }
   for (const auto& [result, count] : answers_) {
     text += "comfreylock_answers_total{result=\"" + result + "\"} " +
             std::to_string(count) + "\n";
--- a/src/mesh/retry_budget.cc
+++ b/src/mesh/retry_budget.cc
@@ -1,8 +1,8 @@
 #include "mesh/retry_budget.h"
 
 #include <algorithm>
-
-#include "mesh/rank.h"
+#include <cmath>
+#include <numeric>
 
 namespace comfreylock::mesh {
 namespace {
@@ -11,13 +11,31 @@
 /// calls of retried requests, which are charged but never refused.
 constexpr double kGrantableFraction = 0.6;
 
-/// Fraction of the retries that requests may use, by the importance of their
-/// route.
+/// Fraction of the retries that requests from callers may use, by the
+/// importance of their route. Onward calls share the budget by class alone,
+/// since work was already done for each of them.
 constexpr std::array<double, kRouteImportanceCount> kRetryFractionByImportance =
     {1.0, 0.6, 0.35};
 
+/// Time constant of the demand of a class.
+constexpr std::chrono::seconds kDemandWindow{1};
+/// Time over which the rest of the budget is divided among the classes. Shorter
+/// than the window, so that most of the budget is used in an overload of some
+/// seconds.
+constexpr std::chrono::seconds kSpendHorizon{4};
+
 }  // namespace
 
+size_t RetryClassOf(const InvestedWork& invested, uint32_t rank) {
+  size_t calls =
+      invested.onward
+          ? std::min(invested.completed_calls, kMaxCompletedCalls) + 1
+          : 0;
+  size_t importance = rank % kRouteImportanceCount;
+  calls += kCallsPerImportance * (kRouteImportanceCount - 1 - importance);
+  return kRetryClassCount - 1 - calls;
+}
+
 RetryBudget::Counts& RetryBudget::ExpireSlices(std::string_view service,
                                                TimePoint now) {
   auto found = services_.find(service);
@@ -65,11 +83,45 @@
   counts.retries[static_cast<size_t>(counts.slice % kRetainedSlices)] += 1;
 }
 
-bool RetryBudget::TryAcquire(std::string_view service,
-                             uint32_t rank,
-                             size_t nodes,
-                             TimePoint now) {
+void RetryBudget::CountDemand(Counts& counts,
+                              size_t retry_class,
+                              TimePoint now) {
+  std::chrono::duration<double> passed = now - counts.demand_updated_at;
+  std::chrono::duration<double> window = kDemandWindow;
+  double decay = std::exp(-passed.count() / window.count());
+  for (double& demand : counts.demand)
+    demand *= decay;
+  counts.demand[retry_class] += 1;
+  counts.demand_updated_at = now;
+}
+
+bool RetryBudget::HasShare(Counts& counts,
+                           size_t retry_class,
+                           double remaining) {
+  auto own = counts.demand.begin() + static_cast<std::ptrdiff_t>(retry_class);
+  double first = std::accumulate(counts.demand.begin(), own, 0.0);
+  double available = remaining *
+                     std::chrono::duration<double>(kDemandWindow).count() /
+                     std::chrono::duration<double>(kSpendHorizon).count();
+  // The class that comes first is limited by the budget alone.
+  if (first < 1 || first + *own <= available)
+    return true;
+  double& credit = counts.credit[retry_class];
+  credit += std::max(0.0, available - first) / *own;
+  if (credit < 1)
+    return false;
+  credit -= 1;
+  return true;
+}
+
+bool RetryBudget::Grant(std::string_view service,
+                        const InvestedWork& invested,
+                        uint32_t rank,
+                        size_t nodes,
+                        TimePoint now) {
+  size_t retry_class = RetryClassOf(invested, rank);
   Counts& counts = ExpireSlices(service, now);
+  CountDemand(counts, retry_class, now);
   double requests = 0;
   for (size_t slices_ago : {size_t{0}, kWindowSlices / 2, kWindowSlices})
     requests =
@@ -77,12 +129,28 @@
   double retries = SumOver(counts.retries, counts.slice, 0);
   double slack =
       limits_.slack / static_cast<double>(std::max<size_t>(nodes, 1));
-  double fraction = kRetryFractionByImportance[rank % kRouteImportanceCount];
-  if (retries + 1 >
-      kGrantableFraction * fraction * (limits_.ratio * requests + slack))
+  double grantable = kGrantableFraction * (limits_.ratio * requests + slack);
+  double fraction =
+      invested.onward
+          ? 1.0
+          : kRetryFractionByImportance[rank % kRouteImportanceCount];
+  if (retries + 1 > fraction * grantable ||
+      !HasShare(counts, retry_class, grantable - retries)) {
     return false;
+  }
   counts.retries[static_cast<size_t>(counts.slice % kRetainedSlices)] += 1;
   return true;
 }
 
+bool RetryBudget::TryAcquire(std::string_view service,
+                             const InvestedWork& invested,
+                             uint32_t rank,
+                             size_t nodes,
+                             TimePoint now) {
+  bool granted = Grant(service, invested, rank, nodes, now);
+  auto& counts = granted ? retry_counts_.granted : retry_counts_.denied;
+  ++counts[RetryClassOf(invested, rank)];
+  return granted;
+}
+
 }  // namespace comfreylock::mesh
--- a/tests/mesh/decisions_test.cc
+++ b/tests/mesh/decisions_test.cc
@@ -220,7 +220,7 @@
   for (int i = 0; i < 6000; ++i) {
     now += 10ms;
     budget.CountRequest("shop", now);
-    attempts.emplace_back(now, budget.TryAcquire("shop", 0, 12, now));
+    attempts.emplace_back(now, budget.TryAcquire("shop", {}, 0, 12, now));
   }
   // Windows of 10 s at steps of 1 s; each of 12 nodes has a twelfth of the
   // slack.
@@ -244,7 +244,7 @@
     bool shedding = second >= 10;
     for (int i = 0; i < (shedding ? 100 : 400); ++i)
       budget.CountRequest("shop", now);
-    while (second >= 15 && budget.TryAcquire("shop", 0, 1, now))
+    while (second >= 15 && budget.TryAcquire("shop", {}, 0, 1, now))
       ++acquired;
   }
   // The previous window had 4,000 requests; three fifths of its budget can be
@@ -259,10 +259,10 @@
   for (int i = 0; i < 100; ++i)
     budget.CountRequest("shop", now);
   int low = 0;
-  while (budget.TryAcquire("shop", 2, 1, now))
+  while (budget.TryAcquire("shop", {}, 2, 1, now))
     ++low;
   int high = 0;
-  while (budget.TryAcquire("shop", 0, 1, now))
+  while (budget.TryAcquire("shop", {}, 0, 1, now))
     ++high;
   EXPECT_GT(low, 0);
   EXPECT_GT(high, low);
@@ -275,7 +275,7 @@
     budget.CountRequest("shop", now);
   for (int i = 0; i < 20; ++i)
     budget.Charge("shop", now);
-  EXPECT_FALSE(budget.TryAcquire("shop", 0, 1, now));
+  EXPECT_FALSE(budget.TryAcquire("shop", {}, 0, 1, now));
 }
 
 /// Some nodes and one or two allocators; each node gets requests at its own
--- a/tests/mesh/load_test.cc
+++ b/tests/mesh/load_test.cc
@@ -138,6 +138,22 @@
     EXPECT_GE(model.Result(route).served(), 0.8) << route;
 }
 
+// Guards against retries that are spent on the first calls of requests while
+// too few are left for their last ones: all targets of the service at the end
+// of the call graph shed 0.55 of their requests, and a view needs four calls to
+// it in sequence. Without retries 0.04 of the views succeed; with the retries
+// spent on their last calls 0.15 can.
+TEST(LoadTest, RetriesCompleteRequestsThatNearlySucceeded) {
+  FleetModel model(Routes(), Targets());
+  model.Offer("view", 120);
+  model.Run(12s);
+  for (size_t target : {3, 7, 11})
+    model.Shed(target, 0.55);
+  model.ResetResults();
+  model.Run(8500ms);
+  EXPECT_GE(model.Result("view").served(), 0.15);
+}
+
 // Guards against a burst of three times the capacity that crowds out important
 // requests.
 TEST(LoadTest, BurstIsRefusedByImportance) {
