Decide how many requests leave a full availability zone

Change: ZoneSpill computes for each service the fraction of requests that leaves the zone, from the load reports of the targets in this zone and in the others. Enabled by "zone_spill" in the settings; without it nothing changes. Metric comfreylock_zone_requests_total by decision and reason.

--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -86,6 +86,8 @@
   status.links = links_.size();
   for (uint32_t i = 0; i < kRankCount; ++i)
     status.failed_calls_permille[i] = call_failures_.FailurePermille(i, now);
+  status.requests_kept = requests_kept_;
+  status.requests_leaving = requests_leaving_;
   status.retries = retry_budget_.counts();
   status.stopping = stopping_;
   status.polls_config = PollsConfig();
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -22,6 +22,7 @@
 #include "mesh/retry_budget.h"
 #include "mesh/target_queue.h"
 #include "mesh/target_selector.h"
+#include "mesh/zone_spill.h"
 
 /// The reducer of a mesh node: the functional core that maps events to effects.
 /// A mesh node runs beside one target. The reducer reads no clock and owns no
@@ -37,6 +38,9 @@
   std::chrono::milliseconds shutdown_timeout{6000};
   /// Interval at which the target sends its reports.
   std::chrono::milliseconds report_interval{1500};
+  /// Part of the requests leaves the availability zone while its targets are
+  /// full; see `ZoneSpill`.
+  bool zone_spill = false;
 
   bool operator==(const NodeBounds&) const = default;
 };
@@ -61,6 +65,10 @@
                                              : identity.advertised_address;
 }
 
+/// Numbers of requests by `SpillReason`.
+using SpillCounts =
+    std::array<uint64_t, static_cast<size_t>(SpillReason::kReasonCount)>;
+
 /// State for the readiness check and the metrics.
 struct NodeStatus {
   uint64_t config_version = 0;
@@ -75,6 +83,9 @@
   /// overload, in thousandths, indexed by the rank of the request that made
   /// them.
   std::array<uint32_t, kRankCount> failed_calls_permille{};
+  /// Placed requests by the zone decision; see `SpillReason`.
+  SpillCounts requests_kept{};
+  SpillCounts requests_leaving{};
   RetryCounts retries;  ///< Retries that the budget granted and denied.
   bool ready = false;
   bool stopping = false;
@@ -249,6 +260,11 @@
   bool IsQuarantined(const wire::Forward& forward) const;
   /// Chooses a target and sends the call to its node, or refuses the call.
   void Place(Call& call);
+  /// @return the time by which an answer from another availability zone must be
+  ///     faster than one from this zone.
+  std::chrono::microseconds ZoneTolerance(
+      const Call& call,
+      const TargetSelector::Request& request);
   void SendTo(Call& call, const TargetSelector::Choice& choice);
   /// Handles the outcome of the attempt in progress: answers, retries or
   /// refuses the call.
@@ -425,6 +441,9 @@
   std::vector<InterruptedWork> interrupted_;
   TargetQueue queue_;
   TargetSelector target_selector_;
+  ZoneSpill zone_spill_;
+  SpillCounts requests_kept_{};
+  SpillCounts requests_leaving_{};
   RetryBudget retry_budget_;
   OrganisationRateLimiter rate_limiter_;
   OrganisationRateAllocator rate_allocator_;
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -40,6 +40,10 @@
 /// sequence.
 constexpr double kZoneToleranceFraction = 0.1;
 constexpr double kOnwardZoneToleranceFraction = 0.03;
+/// Time by which an answer from another availability zone must be faster when
+/// the own zone is full: the way there and back, some milliseconds, and as much
+/// again for the cost of the bytes.
+constexpr milliseconds kZonePathCost = 10ms;
 constexpr int kMinServerErrorStatus = 500;
 
 }  // namespace
@@ -224,9 +228,7 @@
   bool onward = call.forward->onward();
   TargetSelector::Request request{call.service, call.forward->route(),
                                   call.forward->rank(), onward};
-  request.zone_tolerance = std::chrono::duration_cast<microseconds>(
-      (call.useful_until - now_) *
-      (onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
+  request.zone_tolerance = ZoneTolerance(call, request);
   auto choice = target_selector_.Choose(request, call.tried_nodes, now_);
   if (!choice || ++call.placement_count > kMaxPlacements) {
     bool has_target = target_selector_.HasServingTarget(call.service);
@@ -249,6 +251,24 @@
   SendTo(call, *choice);
 }
 
+microseconds MeshReducer::ZoneTolerance(
+    const Call& call,
+    const TargetSelector::Request& request) {
+  auto tolerance = std::chrono::duration_cast<microseconds>(
+      (call.useful_until - now_) *
+      (request.onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
+  if (!identity_.bounds.zone_spill)
+    return tolerance;
+  TargetSelector::ZoneLoads loads;
+  if (zone_spill_.IsUpdateDue(call.service, now_))
+    loads = target_selector_.LoadsByZone(request);
+  ZoneSpill::Decision decision = zone_spill_.Decide(
+      call.service, loads.own, loads.others, kZonePathCost, now_);
+  auto reason = static_cast<size_t>(decision.reason);
+  ++(decision.leaves ? requests_leaving_ : requests_kept_)[reason];
+  return decision.leaves ? kZonePathCost : tolerance;
+}
+
 void MeshReducer::SendTo(Call& call, const TargetSelector::Choice& choice) {
   auto ms_until = [this](TimePoint time) {
     return static_cast<uint32_t>(std::max<int64_t>(
--- a/src/mesh/metrics.cc
+++ b/src/mesh/metrics.cc
@@ -68,6 +68,18 @@
     text += "comfreylock_failed_calls_permille{rank=\"" + std::to_string(i) +
             "\"} " + std::to_string(status.failed_calls_permille[i]) + "\n";
   }
+  for (size_t i = 0; i < status.requests_kept.size(); ++i) {
+    std::string reason(SpillReasonName(static_cast<SpillReason>(i)));
+    for (const auto& [way, counts] :
+         {std::pair("kept", &status.requests_kept),
+          std::pair("left", &status.requests_leaving)}) {
+      if ((*counts)[i] > 0) {
+        text += std::string("comfreylock_zone_requests_total{zone=\"") + way +
+                "\",reason=\"" + reason + "\"} " +
+                std::to_string((*counts)[i]) + "\n";
+      }
+    }
+  }
   for (size_t i = 0; i < kRetryClassCount; ++i) {
     auto counter = [&](const char* result, uint64_t count) {
       if (count == 0)
--- a/src/mesh/target_selector.cc
+++ b/src/mesh/target_selector.cc
@@ -102,6 +102,45 @@
   return microseconds(0);
 }
 
+microseconds TargetSelector::TypicalServiceTime(std::span<const NodeId> nodes,
+                                                std::string_view route) const {
+  microseconds sum(0);
+  int known = 0;
+  for (const NodeId& node : nodes) {
+    microseconds time = ReportedServiceTime(targets_.at(node), route);
+    sum += time;
+    known += time.count() > 0 ? 1 : 0;
+  }
+  return known > 0 ? sum / known : kAssumedServiceTime;
+}
+
+TargetSelector::ZoneLoads TargetSelector::LoadsByZone(
+    const Request& request) const {
+  ZoneLoads loads;
+  auto nodes = by_service_.find(request.service);
+  if (nodes == by_service_.end())
+    return loads;
+  microseconds typical = TypicalServiceTime(nodes->second, request.route);
+  int own_targets = 0;
+  int other_targets = 0;
+  for (const NodeId& node : nodes->second) {
+    const Target& target = targets_.at(node);
+    if (!IsUsable(target))
+      continue;
+    bool own = target.zone == zone_;
+    ++(own ? own_targets : other_targets);
+    ZoneLoad& load = own ? loads.own : loads.others;
+    load.slots += target.load.slots();
+    load.used +=
+        target.load.in_flight() + target.load.queued() + target.sent_since_load;
+    Choice choice = Estimate(node, target, request, typical);
+    load.expected_time += choice.wait + choice.service;
+  }
+  loads.own.expected_time /= std::max(own_targets, 1);
+  loads.others.expected_time /= std::max(other_targets, 1);
+  return loads;
+}
+
 std::optional<TargetSelector::Choice> TargetSelector::Choose(
     const Request& request,
     std::span<const NodeId> tried,
@@ -109,16 +148,7 @@
   auto nodes = by_service_.find(request.service);
   if (nodes == by_service_.end())
     return std::nullopt;
-  // Targets without a time for this route are assumed to match the mean of the
-  // others.
-  microseconds sum(0);
-  int known = 0;
-  for (const NodeId& node : nodes->second) {
-    microseconds time = ReportedServiceTime(targets_.at(node), request.route);
-    sum += time;
-    known += time.count() > 0 ? 1 : 0;
-  }
-  microseconds typical = known > 0 ? sum / known : kAssumedServiceTime;
+  microseconds typical = TypicalServiceTime(nodes->second, request.route);
   std::optional<Choice> best;
   double best_cost = 0;
   for (const NodeId& node : nodes->second) {
--- a/src/mesh/target_selector.h
+++ b/src/mesh/target_selector.h
@@ -11,6 +11,7 @@
 
 #include "comfreylock/types.h"
 #include "generated/mesh.pb.h"
+#include "mesh/zone_spill.h"
 
 /// Selection of the target for a request.
 ///
@@ -71,6 +72,13 @@
                                std::span<const NodeId> tried,
                                TimePoint now);
 
+  /// Loads of the serving targets of a service.
+  struct ZoneLoads {
+    ZoneLoad own;     ///< In this availability zone.
+    ZoneLoad others;  ///< In all others.
+  };
+  ZoneLoads LoadsByZone(const Request& request) const;
+
   /// @return the fraction of recent onward calls by a service's targets that
   ///     failed because of overload, for requests of this rank; the mean over
   ///     its nodes.
@@ -102,6 +110,10 @@
   }
   /// @return whether the node of the target should have been heard from.
   static bool IsSilent(const Target& target, TimePoint now);
+  /// @return the mean service time of a route over the targets of a service
+  ///     that report one, for the others; assumed if none reports one.
+  std::chrono::microseconds TypicalServiceTime(std::span<const NodeId> nodes,
+                                               std::string_view route) const;
   /// @param typical service time of targets that report none for the route.
   Choice Estimate(const NodeId& node,
                   const Target& target,
