--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -23,6 +23,7 @@
 #include "mesh/retry_budget.h"
 #include "mesh/target_queue.h"
 #include "mesh/target_selector.h"
+#include "mesh/zone_spill.h"
 
 /// The reducer of a mesh node: the functional core that maps events to effects.
 /// A mesh node runs beside one target. The reducer reads no clock and owns no
@@ -45,6 +46,9 @@
   /// Longest time from the operator's write of an evacuation until no request
   /// reaches a target in the zone; 0: evacuations are not followed.
   std::chrono::milliseconds max_evacuation_delay{0};
+  /// Part of the requests leaves the availability zone while its targets are
+  /// full; see `ZoneSpill`.
+  bool zone_spill = false;
 
   bool operator==(const NodeBounds&) const = default;
 };
@@ -81,6 +85,9 @@
 
 /// @return the value of `reason` in log lines and metrics.
 std::string_view NameOf(LinkEnd end);
+/// Numbers of requests by `SpillReason`.
+using SpillCounts =
+    std::array<uint64_t, static_cast<size_t>(SpillReason::kReasonCount)>;
 
 /// State for the readiness check and the metrics.
 struct NodeStatus {
@@ -107,6 +114,10 @@
   /// overload, in thousandths, indexed by the rank of the request that made
   /// them.
   std::array<uint32_t, kRankCount> failed_calls_permille{};
+  /// Placed requests by the zone decision; see `SpillReason`.
+  SpillCounts requests_kept{};
+  SpillCounts requests_leaving{};
+  RetryCounts retries;  ///< Retries that the budget granted and denied.
   bool ready = false;
   bool stopping = false;
   /// This node polls the store for the configuration; other nodes rely on it.
@@ -187,6 +198,8 @@
     std::shared_ptr<wire::Forward> forward;
     TimePoint deadline;
     bool started = false;
+    /// Onward calls of it that have succeeded.
+    uint32_t completed_calls = 0;
   };
 
   /// A connection to another node.
@@ -326,11 +339,20 @@
   bool IsQuarantined(const wire::Forward& forward) const;
   /// Chooses a target and sends the call to its node, or refuses the call.
   void Place(Call& call);
+  /// @return the time by which an answer from another availability zone must be
+  ///     faster than one from this zone.
+  std::chrono::microseconds ZoneTolerance(
+      const Call& call,
+      const TargetSelector::Request& request);
   void SendTo(Call& call, const TargetSelector::Choice& choice);
   /// Handles the outcome of the attempt in progress: answers, retries or
   /// refuses the call.
   void OnOutcome(Call& call, std::shared_ptr<wire::Outcome> outcome);
   bool CanRetry(const Call& call) const;
+  /// Acquires a retry from the budget. @return whether there is one.
+  bool AcquireRetry(const Call& call);
+  /// Counts a successful onward call at the request that made it.
+  void CountCompletedCall(const wire::Forward& forward);
   /// Releases the attempt in progress; the call itself goes on.
   void EndAttempt(Call& call);
   void Refuse(Call& call, Reason reason, std::chrono::milliseconds retry_after);
@@ -583,6 +605,9 @@
   uint64_t logged_warmup_refusals_ = 0;
   TimePoint next_warmup_log_at_;
   TargetSelector target_selector_;
+  ZoneSpill zone_spill_;
+  SpillCounts requests_kept_{};
+  SpillCounts requests_leaving_{};
   RetryBudget retry_budget_;
   OrganisationRateLimiter rate_limiter_;
   OrganisationRateAllocator rate_allocator_;
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -44,6 +44,10 @@
 /// sequence.
 constexpr double kZoneToleranceFraction = 0.1;
 constexpr double kOnwardZoneToleranceFraction = 0.03;
+/// Time by which an answer from another availability zone must be faster when
+/// the own zone is full: the way there and back, some milliseconds, and as much
+/// again for the cost of the bytes.
+constexpr milliseconds kZonePathCost = 10ms;
 constexpr int kMinServerErrorStatus = 500;
 
 }  // namespace
@@ -167,6 +171,11 @@
   return Reason::kNone;
 }
 
+void MeshReducer::CountCompletedCall(const wire::Forward& forward) {
+  if (const Work* parent = FindParentWork(forward))
+    ++works_.at(parent->id).completed_calls;
+}
+
 const MeshReducer::Work* MeshReducer::FindParentWork(
     const wire::Forward& forward) const {
   // In practice the id of an onward call is the id of the request that made it,
@@ -223,9 +232,7 @@
   bool onward = call.forward->onward();
   TargetSelector::Request request{call.service, call.forward->route(),
                                   call.forward->rank(), onward};
-  request.zone_tolerance = std::chrono::duration_cast<microseconds>(
-      (call.useful_until - now_) *
-      (onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
+  request.zone_tolerance = ZoneTolerance(call, request);
   auto choice = target_selector_.Choose(request, call.tried_nodes, now_);
   size_t body_bytes = call.forward->body().size();
   bool too_large = call.sent_body_bytes > 0 &&
@@ -251,6 +258,24 @@
   SendTo(call, *choice);
 }
 
+microseconds MeshReducer::ZoneTolerance(
+    const Call& call,
+    const TargetSelector::Request& request) {
+  auto tolerance = std::chrono::duration_cast<microseconds>(
+      (call.useful_until - now_) *
+      (request.onward ? kOnwardZoneToleranceFraction : kZoneToleranceFraction));
+  if (!identity_.bounds.zone_spill)
+    return tolerance;
+  TargetSelector::ZoneLoads loads;
+  if (zone_spill_.IsUpdateDue(call.service, now_))
+    loads = target_selector_.LoadsByZone(request);
+  ZoneSpill::Decision decision = zone_spill_.Decide(
+      call.service, loads.own, loads.others, kZonePathCost, now_);
+  auto reason = static_cast<size_t>(decision.reason);
+  ++(decision.leaves ? requests_leaving_ : requests_kept_)[reason];
+  return decision.leaves ? kZonePathCost : tolerance;
+}
+
 void MeshReducer::SendTo(Call& call, const TargetSelector::Choice& choice) {
   auto ms_until = [this](TimePoint time) {
     return static_cast<uint32_t>(std::max<int64_t>(
@@ -292,6 +317,14 @@
          now_ < call.deadline && !IsQuarantined(*call.forward);
 }
 
+bool MeshReducer::AcquireRetry(const Call& call) {
+  const Work* parent = FindParentWork(*call.forward);
+  InvestedWork invested{call.forward->onward(),
+                        parent ? parent->completed_calls : 0};
+  return retry_budget_.TryAcquire(call.service, invested, call.forward->rank(),
+                                  FleetSize(), now_);
+}
+
 void MeshReducer::OnOutcome(Call& call,
                             std::shared_ptr<wire::Outcome> outcome) {
   EndAttempt(call);
@@ -305,11 +338,12 @@
                              failed && outcome->calls_overloaded());
       // If the target's onward calls fail, those of another target would too.
       if (failed && !outcome->calls_failing() && CanRetry(call) &&
-          retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                   FleetSize(), now_)) {
+          AcquireRetry(call)) {
         call.may_have_run = true;
         break;
       }
+      if (!failed)
+        CountCompletedCall(*call.forward);
       CallId id = call.id;
       effects_.push_back(DeliverAnswer{id, std::move(outcome)});
       RemoveDeadline(call);
@@ -325,8 +359,7 @@
       if (!target_selector_.HasUntriedTarget(call.service, call.tried_nodes))
         call.tried_nodes.clear();
       call.shed = true;
-      if (!retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                    FleetSize(), now_)) {
+      if (!AcquireRetry(call)) {
         Refuse(call, Reason::kOverload,
                JitterRetryAfter(kDefaultRetryAfterDelay));
         return;
@@ -335,9 +368,7 @@
     default:
       ++call.run_count;
       call.may_have_run = true;
-      if (!CanRetry(call) ||
-          !retry_budget_.TryAcquire(call.service, call.forward->rank(),
-                                    FleetSize(), now_)) {
+      if (!CanRetry(call) || !AcquireRetry(call)) {
         bool expired = now_ >= call.deadline || outcome->reason() == "deadline";
         Refuse(call, expired ? Reason::kDeadline : Reason::kTargetFailed,
                milliseconds(0));
