Bound the connections and bytes of callers at the product's node

HttpEntryServer charges the head and the start of each body (256 kB) to a MemoryBudget before it reads the body, and limits callers' connections by descriptors and bytes; idle ones are closed first. Without room a request is refused as not run with reason overload and Retry-After, and the body whose start has taken longest (at least 1 s) is abandoned. New settings memory_mb and max_descriptors, metrics and log events as at the platform's node.

Connections from other nodes (HttpPeerServer) are not bounded.

ParseSettingsTest.ReadsMemoryAndDescriptors is the test of the settings of the platform's node.

--- a/src/http_entry_server.cc
+++ b/src/http_entry_server.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
+#include <unordered_set>
+#include <utility>
 #include <variant>
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +18,7 @@
 #include "crypto.h"
 #include "http_problem.h"
 #include "log_writer.h"
+#include "node_clock.h"
 #include "peer_context.h"
 
 namespace comfreylock {
@@ -31,6 +35,22 @@
 /// Idle connections to other nodes are not reused after this time.
 constexpr std::chrono::milliseconds kPeerIdleTimeout = 20s;
 
+/// Kernel's receive buffer of a caller's connection, which counts as memory of
+/// this process.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+/// Size of one piece of a body, which may exceed the buffered prefix.
+constexpr size_t kPieceBytes = 64 * 1024;
+/// Memory of a call besides its fields and body, and of each field. The head is
+/// held twice, by the parser and by the call.
+constexpr size_t kCallOverheadBytes = 4096;
+constexpr size_t kFieldOverheadBytes = 160;
+/// Time to read the start of a body after which it may be abandoned if its
+/// memory is needed.
+constexpr std::chrono::milliseconds kSlowBodyTime = 1s;
+/// `Retry-After` of requests refused for want of memory: 1 or 2 s, in turn, so
+/// that the clients do not return together.
+constexpr uint64_t kRetryAfterValues = 2;
+
 bool IsValidIdentifier(std::string_view value) {
   return !value.empty() && value.size() <= kMaxHeaderTokenLength &&
          std::ranges::all_of(value, [](unsigned char letter) {
@@ -132,17 +152,36 @@
 
 }  // namespace
 
+struct HttpEntryServer::Held {
+  explicit Held(size_t memory_bytes) : budget(memory_bytes) {}
+  mesh::MemoryBudget budget;
+  std::unordered_set<Connection*> connections;
+};
+
 struct HttpEntryServer::Connection {
-  explicit Connection(asio::ip::tcp::socket socket)
-      : stream(std::move(socket)) {}
+  Connection(asio::ip::tcp::socket socket, std::shared_ptr<Held> all)
+      : stream(std::move(socket)), held(std::move(all)) {
+    held->connections.insert(this);
+  }
+  ~Connection() { held->connections.erase(this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxInputBufferBytes};
+  std::shared_ptr<Held> held;
+  /// Set while the connection waits for the next request.
+  std::optional<IoTimePoint> idle_since;
+  /// Set while the start of a body is read.
+  std::optional<IoTimePoint> reading_since;
+  bool abandoned = false;  ///< The body was given up for its memory.
 };
 
 struct HttpEntryServer::Attempt {
   std::shared_ptr<HttpClientConnection> connection;
   std::unique_ptr<asio::steady_timer> delay;
   ResponseHead head;
+  mesh::MemoryCharge charge;     ///< For `body_prefix`.
   std::string body_prefix;       ///< The first bytes of the body, or all of it.
   bool answer_complete = false;  ///< `body_prefix` is the complete body.
   bool cancelled = false;
@@ -156,6 +195,7 @@
 
   CallId id;
   std::shared_ptr<Connection> connection;
+  mesh::MemoryCharge charge;  ///< For the head and the start of the body.
   std::unique_ptr<http::request_parser<http::buffer_body>> parser;
   /// Copied before the body is read, because the parser adds trailer fields to
   /// its own head.
@@ -206,14 +246,108 @@
     : context_(context),
       node_(node),
       limits_(limits),
+      max_connections_(mesh::MaxCallerDescriptors(limits.max_descriptors)),
+      held_(std::make_shared<Held>(limits.memory_bytes)),
       pool_(context.get_executor(), kPeerIdleTimeout) {}
 
 HttpEntryServer::~HttpEntryServer() = default;
 
+bool HttpEntryServer::CloseIdleConnection() {
+  Connection* longest = nullptr;
+  for (Connection* connection : held_->connections) {
+    if (connection->idle_since &&
+        (!longest || *connection->idle_since < *longest->idle_since))
+      longest = connection;
+  }
+  if (!longest)
+    return false;
+  // Its pending read ends with an error, after which it is destroyed.
+  longest->idle_since.reset();
+  longest->stream.close();
+  return true;
+}
+
+bool HttpEntryServer::Charge(PendingCall& call) {
+  size_t bytes = kCallOverheadBytes;
+  for (const auto& field : call.head) {
+    bytes += 2 * (field.name_string().size() + field.value().size()) +
+             kFieldOverheadBytes;
+  }
+  auto use = mesh::MemoryBudget::Use::kNoBody;
+  if (!call.body_complete) {
+    uint64_t length =
+        call.parser->content_length().value_or(kMaxBufferedBodyBytes);
+    size_t prefix = std::min<uint64_t>(length, kMaxBufferedBodyBytes);
+    use = prefix > mesh::MemoryBudget::kSmallBodyBytes
+              ? mesh::MemoryBudget::Use::kLargeBody
+              : mesh::MemoryBudget::Use::kSmallBody;
+    bytes += prefix + kPieceBytes;
+  }
+  if (!held_->budget.Admits(bytes, use)) {
+    AbandonSlowestBody();
+    held_->budget.CountRefusal();
+    return false;
+  }
+  call.charge =
+      mesh::MemoryCharge(held_->budget, mesh::MemoryBudget::Kind::kRequests);
+  call.charge.Resize(bytes);
+  return true;
+}
+
+void HttpEntryServer::AbandonSlowestBody() {
+  Connection* slowest = nullptr;
+  for (Connection* connection : held_->connections) {
+    if (connection->reading_since &&
+        (!slowest || *connection->reading_since < *slowest->reading_since))
+      slowest = connection;
+  }
+  if (!slowest || std::chrono::steady_clock::now() - *slowest->reading_since <
+                      kSlowBodyTime)
+    return;
+  slowest->abandoned = true;
+  slowest->reading_since.reset();
+  held_->budget.CountAbandoned();
+  slowest->stream.cancel();
+}
+
+void HttpEntryServer::UpdatePressure() {
+  auto changed = held_->budget.UpdatePressure(ReadNodeClock());
+  if (!changed)
+    return;
+  WriteLog(Log{
+      *changed ? LogCode::kMemoryPressureEntered : LogCode::kMemoryPressureLeft,
+      {{"held_bytes", std::to_string(held_->budget.held())},
+       {"limit_bytes", std::to_string(held_->budget.limit())},
+       {"connections", std::to_string(held_->connections.size())}}});
+}
+
+std::string HttpEntryServer::MetricsText() const {
+  const mesh::MemoryBudget& budget = held_->budget;
+  std::string text;
+  auto add = [&text](const std::string& name, uint64_t value) {
+    text += "comfreylock_" + name + " " + std::to_string(value) + "\n";
+  };
+  add("caller_connections", held_->connections.size());
+  for (auto kind : {mesh::MemoryBudget::Kind::kRequests,
+                    mesh::MemoryBudget::Kind::kTargetAnswers}) {
+    add("held_bytes{kind=\"" + std::string(mesh::MemoryBudget::NameOf(kind)) +
+            "\"}",
+        budget.held(kind));
+  }
+  add("held_bytes_limit", budget.limit());
+  add("memory_pressure", budget.under_pressure() ? 1 : 0);
+  add("memory_refusals_total", budget.refusals());
+  add("memory_abandoned_total", budget.abandoned());
+  return text;
+}
+
 asio::ip::tcp::endpoint HttpEntryServer::Listen(const std::string& address,
                                                 bool onward) {
   auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(
       context_, ParseEndpoint(address), true);
+  // Accepted sockets inherit the size.
+  acceptor->set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
   acceptors_.push_back(acceptor);
   asio::co_spawn(context_, Accept(acceptor, onward), asio::detached);
   return acceptor->local_endpoint();
@@ -237,13 +371,19 @@
     if (error) {
       // Accepting fails while the process has no free file descriptor; the
       // pause avoids a busy loop.
+      CloseIdleConnection();
       asio::steady_timer pause(context_, 10ms);
       co_await pause.async_wait(
           asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
+    // Without an idle connection to close, the new one is closed when `socket`
+    // goes out of scope.
+    size_t limit = std::min(max_connections_, held_->budget.MaxConnections());
+    if (held_->connections.size() >= limit && !CloseIdleConnection())
+      continue;
     socket.set_option(asio::ip::tcp::no_delay(true), error);
-    auto connection = std::make_shared<Connection>(std::move(socket));
+    auto connection = std::make_shared<Connection>(std::move(socket), held_);
     asio::co_spawn(context_, Serve(connection, onward), asio::detached);
   }
 }
@@ -272,9 +412,11 @@
   error_code error;
   if (buffer.size() == 0) {
     stream.expires_after(limits_.idle_timeout);
+    connection.idle_since = std::chrono::steady_clock::now();
     size_t got = co_await stream.async_read_some(
         buffer.prepare(kHeadReadBytes),
         asio::redirect_error(asio::use_awaitable, error));
+    connection.idle_since.reset();
     buffer.commit(got);
     if (error)
       throw system_error(error);
@@ -327,6 +469,14 @@
       connection->stream, connection->buffer, *call->parser);
   call->body_reader->set_limit(limit);
   call->body_complete = !HasBody(*call->parser);
+  UpdatePressure();
+  if (!Charge(*call)) {
+    Refusal refusal{Reason::kOverload, Outcome::kNotRun, "no memory"};
+    refusal.retry_after =
+        std::chrono::seconds(1 + memory_refusals_++ % kRetryAfterValues);
+    UpdatePressure();
+    co_return co_await RefuseLocally(call, refusal);
+  }
   if (!node_.IsRefusedByHead(Summarise(*call))) {
     if (auto refusal = co_await ReadBodyPrefix(*call))
       co_return co_await RefuseLocally(call, *refusal);
@@ -374,13 +524,15 @@
   stream.expires_never();
   OperationTimeout timeout(stream, limits_.header_timeout);
   error_code error;
+  call.connection->reading_since = std::chrono::steady_clock::now();
   try {
     call.body_prefix = co_await ReadUpTo(
         *call.body_reader, kMaxBufferedBodyBytes, call.body_complete);
   } catch (const system_error& exception) {
     error = exception.code();
   }
-  if (timeout.expired())
+  call.connection->reading_since.reset();
+  if (timeout.expired() || std::exchange(call.connection->abandoned, false))
     error = make_error_code(beast::error::timeout);
   if (!error)
     co_return std::nullopt;
@@ -682,6 +834,9 @@
   }
   attempt->body_prefix = co_await ReadUpTo(
       connection->body(), kMaxBufferedBodyBytes, attempt->answer_complete);
+  attempt->charge = mesh::MemoryCharge(
+      held_->budget, mesh::MemoryBudget::Kind::kTargetAnswers);
+  attempt->charge.Resize(attempt->body_prefix.size());
   if (!ended.report.refusal_reason().empty()) {
     ended.kind = AttemptResult::kRefused;
     pool_.Release(connection);
--- a/src/http_entry_server.h
+++ b/src/http_entry_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "mesh/memory_budget.h"
 #include "node_services.h"
 
 /// Listeners for callers and for the target's onward calls, and the client
@@ -19,6 +20,10 @@
     std::chrono::milliseconds header_timeout;
     /// Time limit between requests, and for writing each piece of an answer.
     std::chrono::milliseconds idle_timeout;
+    /// Memory that the process may use, bytes.
+    size_t memory_bytes = mesh::MemoryBudget::kDefaultMemoryBytes;
+    /// Descriptors that the process may have open.
+    size_t max_descriptors = 4096;
   };
 
   HttpEntryServer(asio::io_context& context, NodeServices& node, Limits limits);
@@ -35,6 +40,9 @@
   /// `Connection: close`, and their connections are closed.
   void StopAccepting();
 
+  /// @return the metrics of connections and memory, in Prometheus text format.
+  std::string MetricsText() const;
+
   // Effects of the reducer.
   void Apply(const RefuseCall& effect);
   void Apply(const Dispatch& effect);
@@ -46,6 +54,7 @@
   using error_code = boost::system::error_code;
 
   struct Connection;
+  struct Held;
   struct Attempt;
   struct PendingCall;
   using CallPointer = std::shared_ptr<PendingCall>;
@@ -60,6 +69,17 @@
   asio::awaitable<error_code> ReadHead(Connection& connection,
                                        PendingCall& call);
   asio::awaitable<std::optional<Refusal>> ReadBodyPrefix(PendingCall& call);
+  /// Closes the connection that has been idle longest.
+  /// @return false if none is idle.
+  bool CloseIdleConnection();
+  /// Charges a call with its head and with what is read of its body before the
+  /// decision.
+  /// @return false if there is no room.
+  bool Charge(PendingCall& call);
+  /// Gives up the body whose start has taken longest, if that is long enough.
+  void AbandonSlowestBody();
+  /// Logs the state of memory pressure when it changes.
+  void UpdatePressure();
   /// Refuses a call without passing it to the reducer.
   asio::awaitable<bool> RefuseLocally(CallPointer call, Refusal refusal);
   /// Passes a call to the reducer and waits for its decision.
@@ -84,6 +104,10 @@
   asio::io_context& context_;
   NodeServices& node_;
   Limits limits_;
+  size_t max_connections_;
+  /// Shared with the connections, which may outlive the server.
+  std::shared_ptr<Held> held_;
+  uint64_t memory_refusals_ = 0;  ///< Spreads the values of `Retry-After`.
   HttpConnectionPool pool_;
   bool stopping_ = false;
   std::vector<std::shared_ptr<asio::ip::tcp::acceptor>> acceptors_;
--- a/src/node_runtime.cc
+++ b/src/node_runtime.cc
@@ -50,7 +50,8 @@
       reducer_(std::make_unique<NodeReducer>(identity, ReadNodeClock())),
       entry_server_(context_,
                     *this,
-                    {settings_.header_timeout, settings_.idle_timeout}),
+                    {settings_.header_timeout, settings_.idle_timeout,
+                     settings_.memory_mb << 20, settings_.max_descriptors}),
       peer_server_(context_, *this, settings_.target_address),
       store_(context_.get_executor(),
              settings_.store_address,
@@ -81,11 +82,13 @@
 }
 
 HttpOperatorServer::Callbacks NodeRuntime::OperatorCallbacks() {
-  return {
-      [this] { return StatusJson(); },
-      [this] { return observer_.metrics().FormatMetrics(reducer_->status()); },
-      [this](const std::string& id) { return ExplainJson(id); },
-      [this] { Feed(DrainRequested{}); }};
+  return {[this] { return StatusJson(); },
+          [this] {
+            return observer_.metrics().FormatMetrics(reducer_->status()) +
+                   entry_server_.MetricsText();
+          },
+          [this](const std::string& id) { return ExplainJson(id); },
+          [this] { Feed(DrainRequested{}); }};
 }
 
 std::string NodeRuntime::StatusJson() const {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -119,6 +119,8 @@
   settings.policy = ReadPolicy(reader);
   reader.Read("header_timeout", settings.header_timeout, 10ms, 10min);
   reader.Read("idle_timeout", settings.idle_timeout, 10ms, 1h);
+  reader.Read("memory_mb", settings.memory_mb, 32, 1'000'000);
+  reader.Read("max_descriptors", settings.max_descriptors, 256, 1'000'000);
   reader.Finish();
   if (settings.node.empty() || settings.node.find('/') != std::string::npos)
     reader.Fail("node", "is empty or contains a /", "a name without /");
@@ -163,7 +165,9 @@
       {"seeds", defaults.seeds},
       {"log_file", defaults.log_file},
       {"header_timeout", milliseconds(defaults.header_timeout)},
-      {"idle_timeout", milliseconds(defaults.idle_timeout)}};
+      {"idle_timeout", milliseconds(defaults.idle_timeout)},
+      {"memory_mb", defaults.memory_mb},
+      {"max_descriptors", defaults.max_descriptors}};
   return document.dump(2) + "\n";
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -35,6 +35,8 @@
   Policy policy = Policy::kStandard;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds idle_timeout{60'000};
+  uint64_t memory_mb = 160;         ///< Memory that the process may use, MB.
+  uint64_t max_descriptors = 4096;  ///< That the process may have open.
 };
 
 /// @param text JSON with comments.
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -340,6 +340,31 @@
   EXPECT_EQ(settings.unknown_fields, std::vector<std::string>{"new_field"});
 }
 
+// Guards against a node that ignores the memory and the descriptors of its
+// host, and against a template field without a value that stops the start.
+TEST(ParseSettingsTest, ReadsMemoryAndDescriptors) {
+  auto parse = [](const std::string& fields) {
+    std::string text = kSettings;
+    text.insert(text.find('{') + 1, fields);
+    return ParseSettings(text, "boot");
+  };
+  Settings given = parse(R"("memory_mb": 512, "max_descriptors": 8192,)");
+  EXPECT_EQ(given.memory_mb, 512u);
+  EXPECT_EQ(given.max_descriptors, 8192u);
+  for (const char* absent :
+       {"", R"("memory_mb": null, "max_descriptors": null,)",
+        R"("memory_mb": 0, "max_descriptors": 0,)"}) {
+    Settings settings = parse(absent);
+    EXPECT_EQ(settings.memory_mb, 160u) << absent;
+    EXPECT_EQ(settings.max_descriptors, 4096u) << absent;
+  }
+  for (const char* wrong :
+       {R"("memory_mb": 31,)", R"("memory_mb": -1,)", R"("memory_mb": "x",)",
+        R"("memory_mb": 1e300,)", R"("max_descriptors": 100,)"}) {
+    EXPECT_THROW(parse(wrong), InputError) << wrong;
+  }
+}
+
 // Settings are read again while the node runs, so that a value of another type
 // must be an error that keeps the previous settings.
 TEST(ParseSettingsTest, RejectsExtremeValues) {
