--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -85,6 +85,7 @@
 
 /// @return the value of `reason` in log lines and metrics.
 std::string_view NameOf(LinkEnd end);
+
 /// Numbers of requests by `SpillReason`.
 using SpillCounts =
     std::array<uint64_t, static_cast<size_t>(SpillReason::kReasonCount)>;
