Close stalled requests for new connections, and read small chunks together

With all places taken by connections that send slowly, no other caller was accepted.

ParsedBody::Read returned each chunk on its own, in a zeroed buffer of the full piece size. It now takes the chunks that are already in the input buffer.

--- a/src/http_entry_server.cc
+++ b/src/http_entry_server.cc
@@ -253,17 +253,24 @@
 HttpEntryServer::~HttpEntryServer() = default;
 
 bool HttpEntryServer::CloseIdleConnection() {
-  Connection* longest = nullptr;
+  auto slow_before = std::chrono::steady_clock::now() - kSlowBodyTime;
+  Connection* idle = nullptr;
+  Connection* slow = nullptr;
   for (Connection* connection : held_->connections) {
     if (connection->idle_since &&
-        (!longest || *connection->idle_since < *longest->idle_since))
-      longest = connection;
-  }
-  if (!longest)
+        (!idle || *connection->idle_since < *idle->idle_since))
+      idle = connection;
+    if (connection->reading_since && *connection->reading_since < slow_before &&
+        (!slow || *connection->reading_since < *slow->reading_since))
+      slow = connection;
+  }
+  Connection* closed = idle ? idle : slow;
+  if (!closed)
     return false;
   // Its pending read ends with an error, after which it is destroyed.
-  longest->idle_since.reset();
-  longest->stream.close();
+  closed->idle_since.reset();
+  closed->reading_since.reset();
+  closed->stream.close();
   return true;
 }
 
@@ -417,6 +424,7 @@
         buffer.prepare(kHeadReadBytes),
         asio::redirect_error(asio::use_awaitable, error));
     connection.idle_since.reset();
+    connection.reading_since = std::chrono::steady_clock::now();
     buffer.commit(got);
     if (error)
       throw system_error(error);
@@ -426,6 +434,7 @@
   co_await http::async_read_header(
       stream, buffer, *call.parser,
       asio::redirect_error(asio::use_awaitable, error));
+  connection.reading_since.reset();
   if (timeout.expired())
     error = make_error_code(beast::error::timeout);
   co_return error;
--- a/src/http_entry_server.h
+++ b/src/http_entry_server.h
@@ -69,8 +69,9 @@
   asio::awaitable<error_code> ReadHead(Connection& connection,
                                        PendingCall& call);
   asio::awaitable<std::optional<Refusal>> ReadBodyPrefix(PendingCall& call);
-  /// Closes the connection that has been idle longest.
-  /// @return false if none is idle.
+  /// Closes the connection that has been idle longest, or else the one whose
+  /// request has been incomplete longest.
+  /// @return false if there is none.
   bool CloseIdleConnection();
   /// Charges a call with its head and with what is read of its body before the
   /// decision.
--- a/src/http_io.cc
+++ b/src/http_io.cc
@@ -69,6 +69,20 @@
     if (error && error != http::error::need_buffer)
       throw system_error(error);
     size_t got = piece.size() - body.size;
+    // Takes what has been received already, since a read and a piece for each
+    // chunk would cost far more than a chunk of one byte.
+    while (got > 0 && got < piece.size() && buffer_.size() > 0 &&
+           !parser_.is_done()) {
+      body.data = piece.data() + got;
+      body.size = piece.size() - got;
+      size_t used = parser_.put(buffer_.data(), error);
+      buffer_.consume(used);
+      got = piece.size() - body.size;
+      if (error == http::error::need_more || (!error && used == 0))
+        break;
+      if (error && error != http::error::need_buffer)
+        throw system_error(error);
+    }
     received_ += got;
     if (limit_ && received_ > *limit_)
       throw system_error(http::make_error_code(http::error::body_limit));
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -137,6 +137,14 @@
     return socket_.available(ignored) > 0;
   }
 
+  /// @return since when an incomplete request has made no progress while no
+  ///     other one of the connection is in progress, or nothing.
+  std::optional<Clock::time_point> IncompleteSince() const {
+    if (closed_ || !parser_ || !pending_answers_.empty())
+      return std::nullopt;
+    return progress_at_;
+  }
+
   bool IsIdle() const {
     return !closed_ && !parser_ && pending_answers_.empty() && !writing_ &&
            !final_answer_queued_;
@@ -319,6 +327,7 @@
     fields_.clear();
     header_done_ = false;
     request_started_ = true;
+    progress_at_ = Clock::now();
     SetTimeout(limits.header_timeout);
   }
 
@@ -642,18 +651,26 @@
   auto now = Clock::now();
   if (now < next_idle_search_)
     return false;
-  std::shared_ptr<Connection> longest;
+  std::shared_ptr<Connection> idle;
+  std::shared_ptr<Connection> stalled;
   for (const auto& [key, connection] : connections_) {
     // All idle connections have the same timeout.
     if (connection->IsIdle() &&
-        (!longest || connection->deadline() < longest->deadline()))
-      longest = connection;
+        (!idle || connection->deadline() < idle->deadline()))
+      idle = connection;
+    auto since = connection->IncompleteSince();
+    if (since && now - *since >= kStallTime &&
+        (!stalled || *since < *stalled->IncompleteSince()))
+      stalled = connection;
   }
-  if (!longest) {
+  if (!idle && stalled && stalled->HasUnreadInput())
+    stalled = nullptr;
+  auto closed = idle ? idle : stalled;
+  if (!closed) {
     next_idle_search_ = now + kSearchInterval;
     return false;
   }
-  longest->Close();
+  closed->Close();
   return true;
 }
 
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -72,8 +72,9 @@
   bool MakeRoom(size_t bytes, MemoryBudget::Use use, const Connection* except);
   void Accept();
   void AcceptLater();
-  /// Closes the connection that has been idle longest.
-  /// @return false if none is idle.
+  /// Closes the connection that has been idle longest, or else the one whose
+  /// request has stalled longest.
+  /// @return false if there is none.
   bool CloseIdleConnection();
   void ScheduleTimeoutCheck();
 
