Mend faults that the review of the merged parts found

- Input after a request that closes its connection was kept without limit; it is discarded now.
- A client that pipelined requests and did not read their answers had no write timeout, and its requests were read without end; reading stops at 256 kB of unread answers.
- An answer of more than 256 kB closed the link while uploads filled the memory for large bodies.
- A node that started during the restore read no members for 9 to 39 s.
- Evacuations that were disabled and enabled again left the targets unused.
- A request that leaves its zone was held there more strongly than others when little time was left.
- A node that restarted replaced the longer list of departed targets that other nodes kept for it.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -29,6 +29,9 @@
 /// Pipelined requests in progress on one connection; further ones are not read
 /// until one of these is answered.
 constexpr size_t kMaxPipelinedRequests = 16;
+/// Bytes of answers that a client has not read above which no further request
+/// is read from its connection.
+constexpr size_t kMaxUnreadAnswerBytes = 256 * 1024;
 /// Interval at which the timeouts of connections are checked.
 constexpr std::chrono::milliseconds kTimeoutCheckInterval = 500ms;
 /// Time within which a client must have read what is written to it.
@@ -234,6 +237,10 @@
       return true;
     if (!server_.MakeRoom(bytes - reading_charge_.bytes(), use, this))
       return false;
+    // Another connection that was closed for its memory may have led to an
+    // answer on this one, and that to its end.
+    if (closed_ || !parser_)
+      return false;
     reading_charge_.Resize(bytes);
     return true;
   }
@@ -283,21 +290,35 @@
             Read();
             return;
           }
-          buffer_.commit(bytes);
           // Under load, a request may be read only after its client has
           // disconnected.
           if (IsClosedByPeer(socket_)) {
             Close();
             return;
           }
+          if (stop_parsing_) {
+            // No request follows, so that what the client still sends must not
+            // be kept.
+            buffer_.clear();
+            Read();
+            return;
+          }
+          buffer_.commit(bytes);
           ParseInput();
           // Reading stops while the pipeline is full. The client's close is
           // then noticed only after the pending answers are written.
-          if (pending_answers_.size() < kMaxPipelinedRequests)
+          if (AcceptsRequests())
             Read();
         });
   }
 
+  /// @return whether further requests are read: not while the client leaves
+  ///     many requests or much of their answers waiting. `AfterWrite` resumes.
+  bool AcceptsRequests() const {
+    return pending_answers_.size() < kMaxPipelinedRequests &&
+           output_.size() + sent_.size() <= kMaxUnreadAnswerBytes;
+  }
+
   void ParseInput() {
     if (!InterpretInput([this] { Parse(); }) || closed_)
       return;
@@ -310,8 +331,7 @@
 
   void Parse() {
     while (!closed_ && !final_answer_queued_ && !stop_parsing_ &&
-           buffer_.size() > 0 &&
-           pending_answers_.size() < kMaxPipelinedRequests) {
+           buffer_.size() > 0 && AcceptsRequests()) {
       if (!parser_)
         StartParser();
       if (!ParseRequest())
@@ -445,8 +465,10 @@
     CallId call = pending.call;
     pending_answers_.push_back(std::move(pending));
     server_.calls_[call] = weak_from_this();
-    // No timeout applies while a request is in progress.
-    deadline_ = Clock::time_point::max();
+    // No timeout applies while a request is in progress, except that of an
+    // earlier answer that is being written.
+    if (!writing_)
+      deadline_ = Clock::time_point::max();
     server_.handlers_.on_request(call, std::move(request));
   }
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -21,6 +21,8 @@
 using namespace std::chrono_literals;
 
 constexpr size_t kLengthPrefixBytes = 4;
+/// First byte of a frame with a request: field 3 with a length.
+constexpr char kForwardTag = wire::Frame::kForwardFieldNumber << 3 | 2;
 /// Large enough for a request with a body of the maximum size.
 constexpr size_t kMaxFrameBytes = 80 * 1024 * 1024;
 /// Bytes read at a time. The buffer is zeroed before each read, so a larger one
@@ -131,7 +133,7 @@
       RemoveOutgoingBody(frame.cancel().stream());
     if (frame.has_outcome() && frame.outcome().body().size() > kPartBytes &&
         !hub_.admission_(frame.outcome().body().size(),
-                         MemoryBudget::Use::kSmallBody)) {
+                         MemoryBudget::Use::kNoBody)) {
       // The answer cannot be held until the other node reads it, and the target
       // has run the request.
       hub_.budget_.CountRefusal();
@@ -351,9 +353,15 @@
         return;
       }
       if (input_.size() - at - kLengthPrefixBytes < size) {
-        // Other nodes send large frames only if they do not send parts.
-        if (size > kMaxKeptBufferBytes && input_.capacity() < size) {
-          if (!hub_.admission_(size, MemoryBudget::Use::kLargeBody))
+        // Requests come in large frames only from nodes that do not send parts.
+        // An answer must not fail, and with it the link, because uploads fill
+        // the memory that large bodies may use.
+        if (size > kMaxKeptBufferBytes && input_.capacity() < size &&
+            input_.size() - at > kLengthPrefixBytes) {
+          auto use = input_[at + kLengthPrefixBytes] == kForwardTag
+                         ? MemoryBudget::Use::kLargeBody
+                         : MemoryBudget::Use::kNoBody;
+          if (!hub_.admission_(size, use))
             throw InputError("no memory for a frame");
           input_.erase(0, std::exchange(at, 0));
           input_.reserve(size + kLengthPrefixBytes + kReadBytes);
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -74,6 +74,8 @@
   identity_.service = service;
   retry_budget_.SetLimits(bounds.retry);
   if (!FollowsEvacuations()) {
+    if (evacuations_.zones.contains(identity_.zone))
+      AssumeColdSince(now_);
     evacuations_ = {};
     target_selector_.SetEvacuatedZones({});
   }
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -273,7 +273,8 @@
       call.service, loads.own, loads.others, kZonePathCost, now_);
   auto reason = static_cast<size_t>(decision.reason);
   ++(decision.leaves ? requests_leaving_ : requests_kept_)[reason];
-  return decision.leaves ? kZonePathCost : tolerance;
+  return decision.leaves ? std::min<microseconds>(kZonePathCost, tolerance)
+                         : tolerance;
 }
 
 void MeshReducer::SendTo(Call& call, const TargetSelector::Choice& choice) {
--- a/src/mesh/mesh_reducer_news.cc
+++ b/src/mesh/mesh_reducer_news.cc
@@ -29,6 +29,8 @@
 /// Largest number of nodes whose departed targets are kept, 0.3 MB. Each node
 /// has `kKeeperCount` keepers, so that one node keeps those of 3 on average.
 constexpr size_t kMaxKeptNodes = 64;
+/// Departed targets that are kept for one node, as many as it keeps itself.
+constexpr size_t kMaxDepartedOfNode = 64;
 
 }  // namespace
 
@@ -132,7 +134,19 @@
     departed_of_nodes_.erase(
         gone == departed_of_nodes_.end() ? departed_of_nodes_.begin() : gone);
   }
-  departed_of_nodes_[link.node] = std::move(departed);
+  // A node that has just restarted may not know yet what it told before.
+  std::vector<DepartedTarget>& kept = departed_of_nodes_[link.node];
+  for (DepartedTarget& entry : departed) {
+    std::erase_if(kept, [&entry](const DepartedTarget& old) {
+      return old.id == entry.id && old.started_at_ms <= entry.started_at_ms;
+    });
+    if (std::ranges::find(kept, entry.id, &DepartedTarget::id) == kept.end())
+      kept.push_back(std::move(entry));
+  }
+  if (kept.size() > kMaxDepartedOfNode) {
+    kept.erase(kept.begin(),
+               kept.end() - static_cast<std::ptrdiff_t>(kMaxDepartedOfNode));
+  }
 }
 
 void MeshReducer::MergeDeparted(const std::vector<DepartedTarget>& others) {
@@ -155,8 +169,8 @@
   LogLine(LogCode::kTargetChanged, {{"target", target_.report.id},
                                     {"service", target_.report.service},
                                     {"state", "left_before"}});
-  Apply(queue_.RefuseAll());
   AdvertiseLoad();
+  Apply(queue_.RefuseAll());
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -108,6 +108,12 @@
   member_reads_.next_read_at =
       now_ + kRewriteWindow + kRenewInterval + milliseconds(delay(random_));
   member_reads_.after_own_record = true;
+  if (!member_reads_.done || AwaitsPeers()) {
+    // A node that starts needs its members, and its wait for them begins only
+    // now that the store answers.
+    member_reads_.next_read_at = now_ + kMemberWaitReadInterval;
+    era_known_at_ = now_;
+  }
 }
 
 milliseconds MeshReducer::RandomRewriteDelay() {
--- a/tests/mesh/memory_budget_test.cc
+++ b/tests/mesh/memory_budget_test.cc
@@ -254,6 +254,8 @@
   void SendBody(uint64_t stream, const std::string& body) {
     auto forward = std::make_shared<wire::Forward>();
     forward->set_stream(stream);
+    forward->set_method("POST");
+    forward->set_path("/upload");
     forward->set_remaining_ms(10'000);
     forward->set_body(body);
     sender_->Apply(SendForward{LinkId{1}, forward});
