Read a request that was begun to its end, whatever answers wait

Cause: since a connection is not read while more than 256 kB of its answers wait. That also stopped reading in the middle of a request, so that a pipelining client which reads the earlier answer only after sending its whole request would have been cut by the write timeout (20 s).

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -314,9 +314,11 @@
 
   /// @return whether further requests are read: not while the client leaves
   ///     many requests or much of their answers waiting. `AfterWrite` resumes.
+  ///     A request that was begun is read to its end, since its client may read
+  ///     the earlier answers only after it has sent all of it.
   bool AcceptsRequests() const {
     return pending_answers_.size() < kMaxPipelinedRequests &&
-           output_.size() + sent_.size() <= kMaxUnreadAnswerBytes;
+           (parser_ || output_.size() + sent_.size() <= kMaxUnreadAnswerBytes);
   }
 
   void ParseInput() {
