--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,9 +4,9 @@
 # and review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd) && cd "$here/../.." || exit 2
 [ -x target/bin/comfreylock-platform-node ] &&
-  [ -x target/review-2/slow_reader ] || exit 2
+  [ -x target/review-2/shutdown ] || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 2 115 target/review-2/slow_reader "$here/record.txt" "$folder"
+timeout -k 2 115 target/review-2/shutdown "$here/record.txt" "$folder"
 status=$?
 rm -r "$folder"
 [ "$status" -le 1 ] || status=2
