--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -154,7 +154,6 @@
          Record& record,
          Observer on_end = nullptr);
   ~Target();
-  int starts() const { return starts_; }
   /// Deregisters, without a body, until the node confirms, and reports no more.
   /// The target goes on serving.
   /// @return time of the confirmation, or a negative number if there was none.
