Never undo the leave of a target by an older report or record

Cause: the last ready report is kept until the target's record is read, and applied then; a leave is applied at once. The leave names the id only, and no target was known, so that it was stored with start time 0 and the kept report passed as one of a later incarnation. The log has "target_changed state=leaving slots=0 sequence=0" and then "state=ready".

Change: a leave takes the start time of the known target, the kept report or the record with its id. If none has it, the time of the leave is stored (left_at) and limits reports with this id. Start times of departed targets are never lowered, the newest early report is kept, and a leave that is ignored waits for the record of the newer target.

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -109,6 +109,8 @@
   TargetReport report;
   /// Answered with `ReplyToReport`; 0 if nobody waits for an answer.
   CallId call;
+  /// Time of arrival by the clock of `TargetReport::started_at_ms`; 0: unknown.
+  uint64_t received_at_ms = 0;
 };
 
 /// The operators' configuration was read from the store, or was received from
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -279,11 +279,18 @@
     std::set<std::string> zones;
   };
 
-  /// A target that has announced that it leaves.
+  /// A target that has announced that it leaves. Incarnations that started up
+  /// to `LastStart()` have left; a later one may have the same id.
   struct DepartedTarget {
     std::string id;
-    uint64_t started_at_ms = 0;
+    uint64_t started_at_ms = 0;  ///< 0 if it was not known.
+    /// When it left, in the same clock; 0 if `started_at_ms` was known.
+    uint64_t left_at_ms = 0;
     uint64_t change = 0;  ///< Of `TargetRecord` that contains it.
+    /// When this process received the leave; unset if it did not.
+    TimePoint received_at;
+
+    uint64_t LastStart() const { return std::max(started_at_ms, left_at_ms); }
   };
 
   /// A report that is answered once the store holds what it announced.
@@ -405,13 +412,25 @@
   /// a second.
   void CountWarmupRefusals(uint32_t count);
   bool IsNewerReport(const TargetReport& report) const;
+  /// Keeps the newest report until the target's record is read.
+  void KeepEarlyReport(const TargetReport& report);
+  /// @return the start time of the known target that a leave names by its id
+  ///     only; 0 if none has this id.
+  uint64_t FindStartTime(const std::string& id) const;
   /// Applies a report. @return why it is ignored, or null.
   const char* ApplyReport(TargetReport report);
+  /// Applies a leave of a target whose start time is not known.
+  /// @return why it is ignored, or null.
+  const char* ApplyUnknownLeave(const std::string& id, uint64_t received_at_ms);
   /// @return the entry of a target that has left, or null.
   const DepartedTarget* FindDeparted(const std::string& id) const;
   /// Records that a target leaves, so that a late report of it is told as such
-  /// after a restart too.
-  void AddDeparted(const std::string& id, uint64_t started_at_ms);
+  /// after a restart too. Raises the start time of an entry with this id, but
+  /// never lowers it.
+  void AddDeparted(DepartedTarget departed);
+  static DepartedTarget ParseDeparted(const wire::TargetRecord::Departed& row);
+  static void SerializeDeparted(const DepartedTarget& departed,
+                                wire::TargetRecord::Departed& row);
   /// Confirms a leave only once it is written, since a confirmed leave must
   /// hold after a restart of the node.
   void AnswerWhenWritten(const TargetReported& event);
@@ -690,7 +709,7 @@
   } target_record_;
   /// Targets that have left, oldest first.
   std::vector<DepartedTarget> departed_;
-  /// The last report before the record was read.
+  /// The newest report before the record was read.
   std::optional<TargetReport> early_report_;
   std::vector<UnansweredReport> unanswered_reports_;
 
--- a/src/mesh/mesh_reducer_news.cc
+++ b/src/mesh/mesh_reducer_news.cc
@@ -85,11 +85,8 @@
   next_keeper_update_at_ = now_ + kKeeperUpdateInterval;
   auto frame = std::make_shared<wire::Frame>();
   frame->mutable_targets_left()->set_node(identity_.node);
-  for (const DepartedTarget& departed : departed_) {
-    auto* row = frame->mutable_targets_left()->add_departed();
-    row->set_id(departed.id);
-    row->set_born(departed.started_at_ms);
-  }
+  for (const DepartedTarget& departed : departed_)
+    SerializeDeparted(departed, *frame->mutable_targets_left()->add_departed());
   std::set<LinkId> informed;
   for (const NodeId& node : KeepersOfDeparted(true)) {
     LinkId link = members_.at(node).link;
@@ -106,11 +103,8 @@
     return;
   auto frame = std::make_shared<wire::Frame>();
   frame->mutable_targets_left()->set_node(link.node);
-  for (const DepartedTarget& departed : found->second) {
-    auto* row = frame->mutable_targets_left()->add_departed();
-    row->set_id(departed.id);
-    row->set_born(departed.started_at_ms);
-  }
+  for (const DepartedTarget& departed : found->second)
+    SerializeDeparted(departed, *frame->mutable_targets_left()->add_departed());
   Send(link.id, std::move(frame));
 }
 
@@ -118,7 +112,7 @@
                                 const wire::TargetsLeft& left) {
   std::vector<DepartedTarget> departed;
   for (const wire::TargetRecord::Departed& row : left.departed())
-    departed.push_back({row.id(), row.born(), 0});
+    departed.push_back(ParseDeparted(row));
   if (left.node() == identity_.node) {
     MergeDeparted(departed);
     MaintainTargetRecord();
@@ -138,7 +132,7 @@
   std::vector<DepartedTarget>& kept = departed_of_nodes_[link.node];
   for (DepartedTarget& entry : departed) {
     std::erase_if(kept, [&entry](const DepartedTarget& old) {
-      return old.id == entry.id && old.started_at_ms <= entry.started_at_ms;
+      return old.id == entry.id && old.LastStart() <= entry.LastStart();
     });
     if (std::ranges::find(kept, entry.id, &DepartedTarget::id) == kept.end())
       kept.push_back(std::move(entry));
@@ -153,15 +147,15 @@
   bool was_leaving = target_.leaving;
   for (const DepartedTarget& other : others) {
     const DepartedTarget* known = FindDeparted(other.id);
-    if (known && known->started_at_ms >= other.started_at_ms)
+    if (known && known->LastStart() >= other.LastStart())
       continue;
-    AddDeparted(other.id, other.started_at_ms);
+    AddDeparted(other);
     TargetReport& report = target_.report;
     // Reports of targets that started earlier are late.
     if (report.id.empty())
       report.started_at_ms =
           std::max(report.started_at_ms, other.started_at_ms);
-    if (report.id == other.id && report.started_at_ms <= other.started_at_ms)
+    if (report.id == other.id && report.started_at_ms <= other.LastStart())
       target_.leaving = true;
   }
   if (target_.leaving == was_leaving)
--- a/src/mesh/mesh_reducer_records.cc
+++ b/src/mesh/mesh_reducer_records.cc
@@ -244,11 +244,8 @@
     record.set_sequence(report.sequence);
     record.set_born(report.started_at_ms);
   }
-  for (const DepartedTarget& departed : departed_) {
-    wire::TargetRecord::Departed* row = record.add_departed();
-    row->set_id(departed.id);
-    row->set_born(departed.started_at_ms);
-  }
+  for (const DepartedTarget& departed : departed_)
+    SerializeDeparted(departed, *record.add_departed());
   return record.SerializeAsString();
 }
 
@@ -337,7 +334,7 @@
     std::vector<DepartedTarget> departed;
     if (record.ParseFromString(value)) {
       for (const wire::TargetRecord::Departed& row : record.departed())
-        departed.push_back({row.id(), row.born(), 0});
+        departed.push_back(ParseDeparted(row));
     }
     MergeDeparted(departed);
     if (value == TargetRecordValue()) {
@@ -359,9 +356,13 @@
 void MeshReducer::ApplyTargetRecord(const wire::TargetRecord& record) {
   std::vector<DepartedTarget> later = std::exchange(departed_, {});
   for (const wire::TargetRecord::Departed& row : record.departed())
-    departed_.push_back({row.id(), row.born(), 0});
-  for (const DepartedTarget& departed : later)
-    AddDeparted(departed.id, departed.started_at_ms);
+    departed_.push_back(ParseDeparted(row));
+  for (DepartedTarget& departed : later) {
+    // The leave came after the start of this node, hence after the record.
+    if (departed.started_at_ms == 0 && departed.id == record.id())
+      departed.started_at_ms = record.born();
+    AddDeparted(std::move(departed));
+  }
   if (!target_.report.id.empty())
     return;
   // Reports of targets that started earlier are late.
@@ -373,7 +374,7 @@
     return;
   // A restored record may be older than what other nodes have told.
   const DepartedTarget* departed = FindDeparted(record.id());
-  if (departed && record.born() <= departed->started_at_ms)
+  if (departed && record.born() <= departed->LastStart())
     return;
   TargetReport report;
   report.id = record.id();
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -42,6 +42,9 @@
 constexpr milliseconds kCallFailureWindow = 1500ms;
 /// Maximum number of departed targets whose ids are kept.
 constexpr size_t kMaxDepartedTargets = 64;
+/// Time within which a further leave without a start time is taken as a copy of
+/// the first: targets repeat it for some seconds until it is confirmed.
+constexpr std::chrono::seconds kRepeatedLeaveWindow{30};
 /// Time for which the answer to a report waits for the store. A target takes an
 /// answer after more than a second as no confirmation.
 constexpr milliseconds kReportAnswerTimeout = 850ms;
@@ -49,6 +52,16 @@
 /// Minimum time between two log lines about the limit of a cold target.
 constexpr milliseconds kWarmupLogInterval = 1000ms;
 
+/// @return whether `report` says more than `known`, which was received before.
+bool IsNewer(const TargetReport& report, const TargetReport& known) {
+  if (report.id != known.id)
+    return report.started_at_ms == 0 ||
+           report.started_at_ms >= known.started_at_ms;
+  if (report.started_at_ms != known.started_at_ms)
+    return report.started_at_ms > known.started_at_ms;
+  return report.sequence > known.sequence || report.leaving;
+}
+
 /// Shortens a list of values by rank: its last value applies to all further
 /// ranks, and an empty list means 0 for all.
 void TrimTrailingRepeats(google::protobuf::RepeatedField<uint32_t>& values) {
@@ -368,17 +381,12 @@
 
 bool MeshReducer::IsNewerReport(const TargetReport& report) const {
   const DepartedTarget* departed = FindDeparted(report.id);
-  if (departed && report.started_at_ms <= departed->started_at_ms)
+  if (departed && report.started_at_ms <= departed->LastStart())
     return false;
   if (!target_.known)
     return report.started_at_ms >= target_.report.started_at_ms ||
            report.started_at_ms == 0;
-  if (report.id != target_.report.id)
-    return report.started_at_ms == 0 ||
-           report.started_at_ms >= target_.report.started_at_ms;
-  if (report.started_at_ms != target_.report.started_at_ms)
-    return report.started_at_ms > target_.report.started_at_ms;
-  return report.sequence > target_.report.sequence || report.leaving;
+  return IsNewer(report, target_.report);
 }
 
 const MeshReducer::DepartedTarget* MeshReducer::FindDeparted(
@@ -387,33 +395,69 @@
   return found == departed_.end() ? nullptr : &*found;
 }
 
-void MeshReducer::AddDeparted(const std::string& id, uint64_t started_at_ms) {
-  std::erase_if(departed_, [&id](const DepartedTarget& departed) {
-    return departed.id == id;
-  });
+MeshReducer::DepartedTarget MeshReducer::ParseDeparted(
+    const wire::TargetRecord::Departed& row) {
+  return {row.id(), row.born(), row.left_at()};
+}
+
+void MeshReducer::SerializeDeparted(const DepartedTarget& departed,
+                                    wire::TargetRecord::Departed& row) {
+  row.set_id(departed.id);
+  row.set_born(departed.started_at_ms);
+  row.set_left_at(departed.left_at_ms);
+}
+
+void MeshReducer::AddDeparted(DepartedTarget departed) {
+  if (const DepartedTarget* known = FindDeparted(departed.id)) {
+    departed.started_at_ms =
+        std::max(departed.started_at_ms, known->started_at_ms);
+    departed.left_at_ms = std::max(departed.left_at_ms, known->left_at_ms);
+    departed.received_at = std::max(departed.received_at, known->received_at);
+    departed_.erase(departed_.begin() + (known - departed_.data()));
+  }
   if (departed_.size() >= kMaxDepartedTargets)
     departed_.erase(departed_.begin());
-  departed_.push_back({id, started_at_ms, ++target_record_.change});
+  departed.change = ++target_record_.change;
+  departed_.push_back(std::move(departed));
   // The keepers have to be sent this one too.
   informed_keepers_.clear();
   next_keeper_update_at_ = TimePoint();
 }
 
+void MeshReducer::KeepEarlyReport(const TargetReport& report) {
+  if (!early_report_ || IsNewer(report, *early_report_))
+    early_report_ = report;
+}
+
+uint64_t MeshReducer::FindStartTime(const std::string& id) const {
+  uint64_t start = 0;
+  if (id == target_.report.id)
+    start = target_.report.started_at_ms;
+  // A report that waits for the record was sent before the leave.
+  if (early_report_ && id == early_report_->id)
+    start = std::max(start, early_report_->started_at_ms);
+  return start;
+}
+
 void MeshReducer::Handle(const TargetReported& event) {
   if (!target_record_.read && !event.report.leaving) {
     // Only the record tells whether this target has left before a restart of
     // this node.
-    early_report_ = event.report;
+    KeepEarlyReport(event.report);
     if (event.call)
       effects_.push_back(ReplyToReport{event.call});
     return;
   }
   TargetReport report = event.report;
   // A leave message may contain only the id.
-  if (report.leaving && report.started_at_ms == 0 &&
-      report.id == target_.report.id)
-    report.started_at_ms = target_.report.started_at_ms;
-  if (const char* reason = ApplyReport(report)) {
+  if (report.leaving && report.started_at_ms == 0)
+    report.started_at_ms = FindStartTime(report.id);
+  bool unknown_leave = report.leaving && report.started_at_ms == 0 &&
+                       report.id != target_.report.id;
+  const char* reason = unknown_leave
+                           ? ApplyUnknownLeave(report.id, event.received_at_ms)
+                           : ApplyReport(report);
+  if (reason) {
     LogLine(LogCode::kReportIgnored,
             {{"target", report.id},
              {"reason", reason},
@@ -435,7 +479,9 @@
                  report.started_at_ms != target_.report.started_at_ms;
   if (report.leaving && report.id != target_.report.id && target_.known) {
     // Another target has left; the present one stays in use.
-    AddDeparted(report.id, report.started_at_ms);
+    AddDeparted({.id = report.id,
+                 .started_at_ms = report.started_at_ms,
+                 .received_at = now_});
     MaintainTargetRecord();
     return nullptr;
   }
@@ -467,7 +513,9 @@
   UpdateWarmupLimit();
   if (target_.report.leaving) {
     target_.leaving = true;
-    AddDeparted(report.id, target_.report.started_at_ms);
+    AddDeparted({.id = report.id,
+                 .started_at_ms = target_.report.started_at_ms,
+                 .received_at = now_});
   }
   if (!target_.leaving)
     queue_.SetSlots(target_.report.slots);
@@ -489,13 +537,30 @@
   return nullptr;
 }
 
+/// Without the start time, a late report of the target cannot be told from one
+/// of a later target with the same id, except by the time of the leave.
+const char* MeshReducer::ApplyUnknownLeave(const std::string& id,
+                                           uint64_t received_at_ms) {
+  const DepartedTarget* departed = FindDeparted(id);
+  if (departed && departed->received_at != TimePoint() &&
+      now_ - departed->received_at < kRepeatedLeaveWindow)
+    return "repeated";
+  AddDeparted({.id = id, .left_at_ms = received_at_ms, .received_at = now_});
+  MaintainTargetRecord();
+  return nullptr;
+}
+
 void MeshReducer::AnswerWhenWritten(const TargetReported& event) {
   if (!event.call)
     return;
-  const DepartedTarget* departed =
-      event.report.leaving ? FindDeparted(event.report.id) : nullptr;
-  unanswered_reports_.push_back(
-      {event.call, departed ? departed->change : 0, now_});
+  // A leave that is ignored because a newer target is known needs the record of
+  // that target, which a late report is compared with after a restart.
+  uint64_t change = 0;
+  if (event.report.leaving) {
+    const DepartedTarget* departed = FindDeparted(event.report.id);
+    change = departed ? departed->change : target_record_.change;
+  }
+  unanswered_reports_.push_back({event.call, change, now_});
   AnswerWrittenReports();
 }
 
