--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -19,6 +19,7 @@
   kLinesDropped = 105,
   kMemoryPressureEntered = 106,
   kMemoryPressureLeft = 107,
+  kRequestsEnded = 108,
   kCallRefused = 200,
   kCallRetried = 201,
   kAttemptFailed = 202,
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -26,6 +26,9 @@
      "that have stalled are abandoned."},
     {LogCode::kMemoryPressureLeft, LogLevel::kInfo, "memory_pressure_left",
      "The bytes held are well below their limit again."},
+    {LogCode::kRequestsEnded, LogLevel::kWarning, "requests_ended",
+     "A stopping node ended the requests that remained shortly before its "
+     "exit."},
     {LogCode::kCallRefused, LogLevel::kInfo, "call_refused",
      "A caller's request was refused."},
     {LogCode::kCallRetried, LogLevel::kInfo, "call_retried",
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -6,6 +6,7 @@
 namespace comfreylock::mesh {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 /// Maximum interval between `Tick` events.
@@ -27,6 +28,13 @@
 constexpr milliseconds kStopAdmissionWindow = 2700ms;
 /// Time reserved for closing connections before the process is killed.
 constexpr milliseconds kConnectionCloseMargin = 400ms;
+/// Time before the process is killed at which a stopping node ends the requests
+/// that remain: the other nodes' results of it and the answers to callers need
+/// the time until `kConnectionCloseMargin`.
+constexpr milliseconds kEndRequestsMargin = 700ms;
+/// A stopping node takes a request whose deadline it will not reach only if the
+/// expected time fits this often into the time that is left.
+constexpr int kExpectedTimeSafetyFactor = 2;
 /// Time for other nodes to send a newer configuration before this node reads it
 /// from the store.
 constexpr milliseconds kPeerConfigTimeout = 250ms;
@@ -150,6 +158,8 @@
   last_tick_at_ = now_;
   if (!stopping_ || stopped_)
     return;
+  if (now_ >= LastAnswerTime())
+    EndRemainingRequests();
   // Each request of a caller postpones the exit, and with it the time from
   // which the target is reported as not serving.
   reports_not_serving_ = now_ >= ExpectedExitTime() - kStopServingMargin ||
@@ -161,6 +171,8 @@
                   identity_.bounds.shutdown_timeout - kConnectionCloseMargin) {
     stopped_ = true;
     LogLine(LogCode::kNodeStopped, {{"calls", std::to_string(calls_.size())}});
+    while (!calls_.empty())
+      AbandonCall(calls_.begin()->second, Reason::kDraining);
     effects_.push_back(Exit{});
   }
 }
@@ -169,6 +181,40 @@
   return !stopping_ || now_ - stopping_since_ <= kStopAdmissionWindow;
 }
 
+TimePoint MeshReducer::LastAnswerTime() const {
+  return stopping_since_ + identity_.bounds.shutdown_timeout -
+         kEndRequestsMargin;
+}
+
+bool MeshReducer::CanAnswerBeforeExit(TimePoint deadline,
+                                      microseconds expected_time) const {
+  return IsOverBeforeExit(deadline) ||
+         now_ + expected_time * kExpectedTimeSafetyFactor < LastAnswerTime();
+}
+
+void MeshReducer::EndRemainingRequests() {
+  if (std::exchange(requests_ended_, true))
+    return;
+  LogLine(LogCode::kRequestsEnded, {{"calls", std::to_string(calls_.size())},
+                                    {"works", std::to_string(works_.size())}});
+  Apply(queue_.RefuseAll(), InfoOf(Reason::kDraining).name);
+  std::vector<WorkId> works;
+  for (const auto& [id, work] : works_)
+    works.push_back(id);
+  for (WorkId id : works)
+    CancelWork(id);
+  // The nodes that have the other calls report whether they have run them.
+  std::vector<CallId> waiting;
+  for (const auto& [id, call] : calls_) {
+    if (call.stream == 0)
+      waiting.push_back(id);
+    else
+      SendCancel(call);
+  }
+  for (CallId id : waiting)
+    AbandonCall(calls_.at(id), Reason::kDraining);
+}
+
 TimePoint MeshReducer::ExpectedExitTime() const {
   return std::max(stopping_since_ + kMinExitDelay,
                   last_call_at_ + kCallerQuietWindow);
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -323,6 +323,20 @@
   /// @return whether callers' requests are accepted. Late in a shutdown they
   ///     are not.
   bool AcceptsCallers() const;
+  /// @return when a stopping node ends the requests that remain.
+  TimePoint LastAnswerTime() const;
+  /// @return whether a request with this deadline is over, in any case, before
+  ///     this node exits.
+  bool IsOverBeforeExit(TimePoint deadline) const {
+    return !stopping_ || deadline <= LastAnswerTime();
+  }
+  /// @return whether a request is over before this node exits, or is expected
+  ///     to be.
+  bool CanAnswerBeforeExit(TimePoint deadline,
+                           std::chrono::microseconds expected_time) const;
+  /// Ends all requests in progress, so that each gets an answer: as not run
+  /// where that is certain.
+  void EndRemainingRequests();
   /// @return when a stopping node exits if callers send no more requests.
   TimePoint ExpectedExitTime() const;
 
@@ -365,6 +379,10 @@
   void EndAttempt(Call& call);
   void Refuse(Call& call, Reason reason, std::chrono::milliseconds retry_after);
   std::chrono::milliseconds JitterRetryAfter(std::chrono::microseconds base);
+  /// Refuses a call and cancels its attempt in progress, which may have run.
+  void AbandonCall(Call& call, Reason reason);
+  /// Tells the node of the attempt in progress that it is not needed any more.
+  void SendCancel(const Call& call);
   void ExpireCalls();
   void RemoveDeadline(const Call& call);
   /// Updates the throttle for overload further down the call graph.
@@ -383,6 +401,8 @@
                                                 uint64_t sent_us) const;
   /// @return why the work is rejected, or `kNone`.
   Reason RejectionReason(const Work& work) const;
+  /// @return the expected wait and service time on this host's target.
+  std::chrono::microseconds ExpectedTime(const wire::Forward& forward) const;
   /// @param refusal_reason why requests that did not start are refused.
   void Apply(const TargetQueue::Changes& changes,
              std::string_view refusal_reason = "overload");
@@ -714,6 +734,7 @@
   std::vector<UnansweredReport> unanswered_reports_;
 
   bool stopping_ = false;
+  bool requests_ended_ = false;  ///< See `EndRemainingRequests`.
   TimePoint stopping_since_;
   TimePoint last_call_at_;            ///< Last request from a caller.
   bool reports_not_serving_ = false;  ///< Set shortly before the exit.
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -62,14 +62,17 @@
     Refuse(call, reason, kDefaultRetryAfterDelay);
     return;
   }
-  // Onward calls of this host's target are served until the node exits, because
-  // the target still runs requests of other nodes.
+  // Onward calls of this host's target are served for longer, because the
+  // target still runs requests of other nodes. Callers of public routes send
+  // requests that look the same.
   bool onward = call.forward->onward();
-  if (!onward && !AcceptsCallers()) {
+  bool accepted =
+      AcceptsCallers() || (onward && IsOverBeforeExit(call.deadline));
+  if (!accepted) {
     Refuse(call, Reason::kDraining, kMinRetryAfterDelay);
     return;
   }
-  if (!onward)
+  if (AcceptsCallers() && !(onward && FindParentWork(*call.forward)))
     last_call_at_ = now_;
   if (IsQuarantined(*call.forward)) {
     Refuse(call, Reason::kQuarantined, milliseconds(0));
@@ -255,6 +258,10 @@
     Refuse(call, Reason::kOverload, JitterRetryAfter(choice->wait));
     return;
   }
+  if (!CanAnswerBeforeExit(call.deadline, call.expected_time)) {
+    Refuse(call, Reason::kDraining, kMinRetryAfterDelay);
+    return;
+  }
   SendTo(call, *choice);
 }
 
@@ -315,7 +322,8 @@
 
 bool MeshReducer::CanRetry(const Call& call) const {
   return call.forward->idempotent() && call.run_count < call.max_attempts &&
-         now_ < call.deadline && !IsQuarantined(*call.forward);
+         now_ < call.deadline && !requests_ended_ &&
+         !IsQuarantined(*call.forward);
 }
 
 bool MeshReducer::AcquireRetry(const Call& call) {
@@ -519,6 +527,10 @@
   EndAttempt(found->second);
   RemoveDeadline(found->second);
   calls_.erase(found);
+  SendCancel(call);
+}
+
+void MeshReducer::SendCancel(const Call& call) {
   if (call.stream == 0)
     return;
   if (!call.link) {
@@ -530,6 +542,14 @@
   Send(call.link, std::move(frame));
 }
 
+void MeshReducer::AbandonCall(Call& call, Reason reason) {
+  Call abandoned = call;
+  EndAttempt(call);
+  call.may_have_run = call.may_have_run || abandoned.stream != 0;
+  Refuse(call, reason, milliseconds(0));
+  SendCancel(abandoned);
+}
+
 void MeshReducer::ExpireCalls() {
   while (!call_deadlines_.empty() && call_deadlines_.begin()->first <= now_) {
     CallId id = call_deadlines_.begin()->second;
@@ -537,21 +557,7 @@
     auto found = calls_.find(id);
     if (found == calls_.end())
       continue;
-    Call& call = found->second;
-    LinkId link = call.link;
-    uint64_t stream = call.stream;
-    EndAttempt(call);
-    call.may_have_run = call.may_have_run || stream != 0;
-    Refuse(call, Reason::kDeadline, milliseconds(0));
-    if (stream == 0)
-      continue;
-    if (!link) {
-      CancelWork(WorkId{stream});
-      continue;
-    }
-    auto frame = std::make_shared<wire::Frame>();
-    frame->mutable_cancel()->set_stream(stream);
-    Send(link, std::move(frame));
+    AbandonCall(found->second, Reason::kDeadline);
   }
 }
 
--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -9,6 +9,7 @@
 namespace comfreylock::mesh {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 /// Time for which a target is not used after a connection to it failed, unless
@@ -110,7 +111,18 @@
     return Reason::kNoTarget;
   if (IsQuarantined(*work.forward))
     return Reason::kQuarantined;
-  return work.forward->remaining_ms() == 0 ? Reason::kDeadline : Reason::kNone;
+  if (work.forward->remaining_ms() == 0)
+    return Reason::kDeadline;
+  if (!IsOverBeforeExit(work.deadline) &&
+      !(AcceptsCallers() &&
+        CanAnswerBeforeExit(work.deadline, ExpectedTime(*work.forward))))
+    return Reason::kDraining;
+  return Reason::kNone;
+}
+
+microseconds MeshReducer::ExpectedTime(const wire::Forward& forward) const {
+  return queue_.ExpectedWait(forward.rank(), forward.onward(), now_) +
+         queue_.mean_service_time();
 }
 
 void MeshReducer::Apply(const TargetQueue::Changes& changes,
--- a/tests/mesh/mesh_reducer_test.cc
+++ b/tests/mesh/mesh_reducer_test.cc
@@ -177,20 +177,6 @@
   EXPECT_EQ(aborted[0].work, run[0].work);
 }
 
-/// @return a request that another node forwards.
-std::shared_ptr<wire::Frame> ForwardFrame(uint64_t stream, TimePoint sent) {
-  auto frame = std::make_shared<wire::Frame>();
-  wire::Forward* forward = frame->mutable_forward();
-  forward->set_stream(stream);
-  forward->set_service("shop");
-  forward->set_request_id("f" + std::to_string(stream));
-  forward->set_route("read");
-  forward->set_remaining_ms(1000);
-  forward->set_useful_ms(1000);
-  forward->set_sent_us(static_cast<uint64_t>(sent.time_since_epoch().count()));
-  return frame;
-}
-
 // Guards against work for callers that disconnected while their request was
 // delayed on a full link or at a node without processor time.
 TEST_F(MeshReducerTest, RequestDelayedInTransitNotRun) {
--- a/tests/mesh/reducer_fixture.h
+++ b/tests/mesh/reducer_fixture.h
@@ -131,12 +131,13 @@
 
   Effects SendCall(const std::string& path,
                    const std::string& key = "key",
-                   const std::string& id = "") {
+                   const std::string& id = "",
+                   milliseconds deadline = 1000ms) {
     RequestArrived event;
     event.call = CallId{++calls_};
     event.request.host = "h";
     event.request.key = key;
-    event.request.deadline = 1000ms;
+    event.request.deadline = deadline;
     event.request.forward = std::make_shared<wire::Forward>();
     event.request.forward->set_request_id(
         id.empty() ? "r" + std::to_string(calls_) : id);
@@ -233,6 +234,24 @@
     Feed(FrameReceived{link, frame});
   }
 
+  /// @return a request that another node forwards.
+  static std::shared_ptr<wire::Frame> ForwardFrame(
+      uint64_t stream,
+      TimePoint sent,
+      milliseconds remaining = 1000ms) {
+    auto frame = std::make_shared<wire::Frame>();
+    wire::Forward* forward = frame->mutable_forward();
+    forward->set_stream(stream);
+    forward->set_service("shop");
+    forward->set_request_id("f" + std::to_string(stream));
+    forward->set_route("read");
+    forward->set_remaining_ms(static_cast<uint32_t>(remaining.count()));
+    forward->set_useful_ms(static_cast<uint32_t>(remaining.count()));
+    forward->set_sent_us(
+        static_cast<uint64_t>(sent.time_since_epoch().count()));
+    return frame;
+  }
+
   Effects SendOutcome(LinkId link,
                       uint64_t stream,
                       wire::Outcome::Kind kind,
