Test: nodes that stop together lose results and answers

What callers saw: a 502 in place of the answer of a target that had run the request, or a part of the answer, around the SIGTERM of both nodes.

--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -39,6 +39,10 @@
           work_ms,
           5,
           "Service time of a request at the target, milliseconds.");
+ABSL_FLAG(uint32_t,
+          answer_bytes,
+          0,
+          "Size of a target's answers, bytes; 0: a short text.");
 ABSL_FLAG(
     int,
     leave_ms,
@@ -114,8 +118,9 @@
   PlatformTargetStandin target(
       context, absl::GetFlag(FLAGS_id), absl::GetFlag(FLAGS_service),
       absl::GetFlag(FLAGS_address), absl::GetFlag(FLAGS_report_to));
-  target.SetBehaviour({.service_time = std::chrono::milliseconds(
-                           absl::GetFlag(FLAGS_work_ms))});
+  target.SetBehaviour(
+      {.service_time = std::chrono::milliseconds(absl::GetFlag(FLAGS_work_ms)),
+       .answer_bytes = absl::GetFlag(FLAGS_answer_bytes)});
   target.SetObserver(PrintEvent);
   if (!absl::GetFlag(FLAGS_reported_address).empty())
     target.SetReportedAddress(absl::GetFlag(FLAGS_reported_address));
--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -419,7 +419,9 @@
   if (!behaviour_.omits_signature)
     answer.fields.emplace_back("X-Comfreylock-Server-Signature", "s." + id_);
   answer.body =
-      "answer to " + id + " of " + std::to_string(request.body.size());
+      behaviour_.answer_bytes > 0
+          ? std::string(behaviour_.answer_bytes, 'x')
+          : "answer to " + id + " of " + std::to_string(request.body.size());
   answer.close = behaviour_.fails;
   if (behaviour_.fails)
     answer.status = 500;
--- a/standins/standin_platform.h
+++ b/standins/standin_platform.h
@@ -137,6 +137,7 @@
   bool omits_signature = false;  ///< Omits X-Comfreylock-Server-Signature.
   bool fails = false;            ///< Runs the request, answers 500 and closes.
   std::string state = "ready";   ///< In the reports to the node.
+  size_t answer_bytes = 0;       ///< Size of the answers; 0: a short text.
 };
 
 /// A target that reports to the node beside it.
