Read the results on a link whose writes fail

What callers saw: a 502 in place of an answer that the target's node had sent before it exited.

Cause: when a write to a link failed, the link was closed at once, and with it the results that had arrived and were not read. A node writes its load to each link several times a second, so a write often finds that the peer has exited before the read does.

Change: after a failed write nothing more is written, and the link ends when the read does, which first returns all that has arrived.

--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -169,6 +169,8 @@
     forward->clear_body_size();
     forward->mutable_body()->swap(body);
     frame.unsafe_arena_release_forward();
+    if (write_failed_)
+      return;
     outgoing_.push_back({forward->stream(), forward, 0});
     ScheduleFlush();
   }
@@ -202,6 +204,8 @@
   };
 
   void Append(const wire::Frame& frame) {
+    if (write_failed_)
+      return;
     size_t size = frame.ByteSizeLong();
     AppendLengthPrefix(output_, size);
     size_t at = output_.size();
@@ -311,12 +315,21 @@
                           sent_.shrink_to_fit();
                         UpdateOutputCharge();
                         if (error)
-                          Fail();
+                          StopWriting();
                         else
                           Flush();
                       });
   }
 
+  /// After a failed write the read ends as well, once it has returned what the
+  /// peer sent before: results may be among it.
+  void StopWriting() {
+    write_failed_ = true;
+    outgoing_.clear();
+    output_.clear();
+    UpdateOutputCharge();
+  }
+
   void Read() {
     size_t at = input_.size();
     input_.resize(at + kReadBytes);
@@ -505,6 +518,7 @@
   bool hello_received_ = false;
   bool peer_accepts_parts_ = false;
   bool writing_ = false;
+  bool write_failed_ = false;
   bool flush_scheduled_ = false;
   bool closed_ = false;
 };
--- /dev/null
+++ b/tests/mesh/node_exit_test.cc
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http_io.h"
+#include "mesh/http_server.h"
+#include "mesh/link_hub.h"
+#include "mesh/socket_options.h"
+
+/// The end of a node's connections, over real sockets: what was handed to a
+/// connection before its node exits arrives.
+namespace comfreylock::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::system::error_code;
+
+wire::Frame ResultFrame(uint64_t stream, size_t body_bytes) {
+  wire::Frame frame;
+  frame.mutable_outcome()->set_stream(stream);
+  frame.mutable_outcome()->set_kind(wire::Outcome::ANSWERED);
+  frame.mutable_outcome()->set_status(200);
+  frame.mutable_outcome()->set_body(std::string(body_bytes, 'x'));
+  return frame;
+}
+
+std::string BytesOf(const wire::Frame& frame) {
+  std::string content = frame.SerializeAsString();
+  std::string bytes;
+  for (int shift : {24, 16, 8, 0})
+    bytes += static_cast<char>(content.size() >> shift & 0xff);
+  return bytes + content;
+}
+
+/// A hub whose link leads to a socket of the test.
+class LinkEndTest : public testing::Test {
+ protected:
+  LinkEndTest()
+      : acceptor_(ListenOn(context_, "127.0.0.1:0")), peer_(context_) {
+    hub_ = std::make_unique<LinkHub>(
+        context_, wire::Hello(),
+        [this](EventBody event) {
+          if (auto* received = std::get_if<FrameReceived>(&event);
+              received && received->frame->has_outcome())
+            ++results_;
+          lost_ |= std::holds_alternative<LinkClosed>(event);
+        },
+        budget_, [](size_t, MemoryBudget::Use) { return true; });
+    hub_->Apply(OpenLink{
+        LinkId{1},
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())});
+    acceptor_.accept(peer_);
+    wire::Frame hello;
+    hello.mutable_hello()->set_node("other");
+    asio::write(peer_, asio::buffer(BytesOf(hello)));
+    Run();
+  }
+
+  void Run() {
+    context_.restart();
+    context_.run_for(200ms);
+  }
+
+  asio::io_context context_;
+  MemoryBudget budget_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket peer_;
+  std::unique_ptr<LinkHub> hub_;
+  int results_ = 0;
+  bool lost_ = false;
+};
+
+// A node sends results and exits with unread input, which resets the link, and
+// this node writes to the link before it has read the results. Guards against
+// results that are discarded because the write fails.
+TEST_F(LinkEndTest, ResultsBehindAFailedWriteAreRead) {
+  // More than one read takes, less than the kernel delivers at once.
+  constexpr int kResults = 3;
+  for (int i = 0; i < kResults; ++i) {
+    auto stream = static_cast<uint64_t>(i);
+    asio::write(peer_, asio::buffer(BytesOf(ResultFrame(stream, 12'000))));
+  }
+  // The kernel passes the bytes on before the reset. The Hello is unread.
+  std::this_thread::sleep_for(100ms);
+  peer_.close();
+  auto load = std::make_shared<wire::Frame>();
+  load->mutable_load()->set_slots(1);
+  hub_->Apply(SendFrame{LinkId{1}, load});
+  Run();
+  EXPECT_EQ(results_, kResults);
+  EXPECT_TRUE(lost_);
+}
+
+}  // namespace
+}  // namespace comfreylock::mesh
