Keep a closing connection until the client has its last answer

What callers saw: an answer with Connection: close that was read slowly ended early, with a reset.

Cause: the node closed the socket 1 s after it had handed the answer to the kernel, whatever the kernel still held of it. Input that arrived after that reset the connection, and the kernel discarded the rest.

Change: the time starts to count only once the client has acknowledged all bytes, within the time limit for writing an answer.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -157,6 +157,10 @@
   void CheckTimeout(Clock::time_point now) {
     if (now < deadline_)
       return;
+    // The client has not received all of the last answer.
+    if (send_side_closed_ && now < delivery_deadline_ &&
+        UnacknowledgedBytes(socket_) > 0)
+      return;
     if (!output_.empty() || writing_ || final_answer_queued_) {
       Close();
       return;
@@ -568,6 +572,7 @@
       error_code ignored;
       socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
       SetTimeout(kCloseTimeout);
+      delivery_deadline_ = Clock::now() + kWriteTimeout;
       Read();
       return;
     }
@@ -597,6 +602,8 @@
   std::string output_;
   std::string sent_;
   Clock::time_point deadline_;
+  /// End of the time for receiving the last answer, once it was written.
+  Clock::time_point delivery_deadline_;
   MemoryCharge reading_charge_;  ///< For the request that is being read.
   MemoryCharge answer_charge_;
   size_t head_bytes_ = 0;      ///< Memory of the head of the request.
--- a/src/mesh/socket_options.cc
+++ b/src/mesh/socket_options.cc
@@ -1,8 +1,12 @@
 #include "mesh/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 #include "http_io.h"
 
 namespace comfreylock::mesh {
@@ -33,6 +37,13 @@
   return recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  if (ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return static_cast<size_t>(std::max(bytes, 0));
+}
+
 asio::ip::tcp::acceptor ListenOn(asio::io_context& context,
                                  const std::string& address,
                                  size_t receive_buffer_bytes) {
--- a/src/mesh/socket_options.h
+++ b/src/mesh/socket_options.h
@@ -31,6 +31,10 @@
 /// read.
 bool IsClosedByPeer(boost::asio::ip::tcp::socket& socket);
 
+/// @return bytes written to the socket that the peer has not acknowledged, the
+///     end of the stream included; 0 if the system does not tell.
+size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
 /// @return a listening socket.
 /// @param address IP:PORT. @throws std::exception if it cannot be bound.
 /// @param receive_buffer_bytes size of the kernel's receive buffer of each
--- a/tests/mesh/node_exit_test.cc
+++ b/tests/mesh/node_exit_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "http_io.h"
@@ -98,5 +99,63 @@
   EXPECT_TRUE(lost_);
 }
 
+/// A server whose answers have a body of 1 MB, and a client with a small
+/// receive buffer, so that the kernel of the server holds most of an answer.
+class CallerEndTest : public testing::Test {
+ protected:
+  static constexpr size_t kBodyBytes = size_t{1024} * 1024;
+
+  CallerEndTest()
+      : server_(context_,
+                {[this](CallId call, HttpRequest) {
+                   HttpAnswer answer;
+                   answer.body = std::string(kBodyBytes, 'a');
+                   server_.Respond(call, std::move(answer));
+                 },
+                 [](CallId) {}, [] { return CallerLimits(); }}),
+        client_(context_) {
+    std::string address =
+        "127.0.0.1:" + std::to_string(28'000 + getpid() % 900);
+    server_.Listen(address);
+    client_.open(asio::ip::tcp::v4());
+    client_.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
+    client_.connect(ParseEndpoint(address));
+  }
+
+  void Run(std::chrono::milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(client_, asio::buffer(bytes));
+  }
+
+  std::string ReceiveAll() {
+    std::string received;
+    bool ended = false;
+    asio::async_read(client_, asio::dynamic_buffer(received),
+                     [&](error_code, size_t) { ended = true; });
+    for (int i = 0; i < 300 && !ended; ++i)
+      Run(10ms);
+    EXPECT_TRUE(ended);
+    return received;
+  }
+
+  asio::io_context context_;
+  HttpServer server_;
+  asio::ip::tcp::socket client_;
+};
+
+// Guards against a slow reader whose further input resets the connection, so that
+// the kernel discards what it holds of the last answer.
+TEST_F(CallerEndTest, SlowReaderReceivesTheLastAnswerOfItsConnection) {
+  Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  Run(2500ms);
+  Send("x");
+  Run(100ms);
+  EXPECT_GT(ReceiveAll().size(), kBodyBytes);
+}
+
 }  // namespace
 }  // namespace comfreylock::mesh
