Deliver all results and answers before a node exits

What callers saw: around the SIGTERM of several nodes, a 502 in place of the answer of a target that had run the request, or a part of the answer.

Cause: the exit was decided by what the reducer had in progress and by writes that had begun. A result whose write was scheduled but not begun, and results that the deciding tick itself produced, were dropped; the entry node answered 502. What the kernel still held was discarded if the connection had unread input at the exit, or got input afterwards.

Change: the Exit effect no longer stops the event loop. The process stops listening and reading requests, refuses requests that have arrived in part as not run, writes all that is waiting, closes the sending side of each connection and discards further input. It ends when all peers have closed, or have acknowledged all bytes and had 100 ms to close, and 100 ms before it would be killed at the latest.

--- a/src/mesh/events.h
+++ b/src/mesh/events.h
@@ -240,8 +240,11 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
-/// Ends the process: shutdown is complete or its time is used up.
-struct Exit {};
+/// Ends the process: shutdown is complete or its time is used up. What was
+/// handed to connections before is delivered first.
+struct Exit {
+  TimePoint deadline;  ///< Time for that; the process is killed shortly after.
+};
 
 using Effect = std::variant<DeliverAnswer,
                             RefuseCall,
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -112,6 +112,29 @@
     FlushAnswers();
   }
 
+  /// See `HttpServer::CloseWhenDelivered`.
+  void CloseWhenDelivered() {
+    if (closed_ || final_answer_queued_)
+      return;
+    stop_parsing_ = true;
+    if (parser_) {
+      RefuseUnread();
+    } else if (pending_answers_.empty()) {
+      final_answer_queued_ = true;
+      Write();
+    } else {
+      pending_answers_.back().close = true;
+      FlushAnswers();
+    }
+    // Input that stays unread would reset the connection when it is closed, and
+    // discard the answers that the client has not received.
+    Read();
+  }
+
+  bool HasUndelivered() {
+    return writing_ || !output_.empty() || UnacknowledgedBytes(socket_) > 0;
+  }
+
   /// @return since when the connection has held memory without progress, or
   ///     nothing if it holds none or waits for this node.
   std::optional<Clock::time_point> StalledSince() const {
@@ -481,6 +504,11 @@
   /// Refuses a request for which there is no memory.
   void RefuseForMemory() {
     server_.budget_.CountRefusal();
+    RefuseUnread();
+  }
+
+  /// Refuses a request that was not read completely, and hence has not run.
+  void RefuseUnread() {
     // 619 and the spread have no common factor, so that all values occur.
     uint64_t retry_after =
         kMinRetryAfterMs + ++server_.refusals_ * 619 % kRetryAfterSpreadMs;
@@ -651,6 +679,22 @@
     connection->Respond(call, std::move(answer));
 }
 
+void HttpServer::CloseWhenDelivered() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  // Closing a connection removes it from the map.
+  auto connections = connections_;
+  for (const auto& [key, connection] : connections)
+    connection->CloseWhenDelivered();
+}
+
+bool HttpServer::HasUndelivered() const {
+  return std::ranges::any_of(connections_, [](const auto& item) {
+    return item.second->HasUndelivered();
+  });
+}
+
 void HttpServer::Accept() {
   acceptor_.async_accept([this](error_code error,
                                 asio::ip::tcp::socket socket) {
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -53,6 +53,14 @@
   /// From now on each answer closes its connection (`Connection: close`).
   void CloseAfterAnswers() { close_after_answers_ = true; }
 
+  /// Stops listening and reading requests, and closes each connection once the
+  /// client has received its answers. A request that has arrived only in part
+  /// is refused as not run.
+  void CloseWhenDelivered();
+
+  /// @return whether a client has not yet received all that was written to it.
+  bool HasUndelivered() const;
+
   /// Answers a request; does nothing if the client has disconnected.
   void Respond(CallId call, HttpAnswer answer);
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -175,6 +175,21 @@
     ScheduleFlush();
   }
 
+  /// See `LinkHub::CloseWhenDelivered`.
+  void CloseWhenDelivered() {
+    if (!connected_) {
+      Close();
+      return;
+    }
+    closing_ = true;
+    ScheduleFlush();
+  }
+
+  bool HasUndelivered() {
+    return flush_scheduled_ || writing_ || !output_.empty() ||
+           UnacknowledgedBytes(socket_) > 0;
+  }
+
   void Close() {
     if (std::exchange(closed_, true))
       return;
@@ -204,7 +219,7 @@
   };
 
   void Append(const wire::Frame& frame) {
-    if (write_failed_)
+    if (write_failed_ || closing_)
       return;
     size_t size = frame.ByteSizeLong();
     AppendLengthPrefix(output_, size);
@@ -282,8 +297,16 @@
 
   /// Writes the waiting frames, or else the next part of a body.
   void Flush() {
-    if (closed_ || writing_ || (output_.empty() && outgoing_.empty()))
+    if (closed_ || writing_)
+      return;
+    if (output_.empty() && outgoing_.empty()) {
+      if (closing_) {
+        // The peer closes the link once it has read everything.
+        error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+      }
       return;
+    }
     std::array<asio::const_buffer, 2> buffers;
     std::shared_ptr<const wire::Forward> body_owner;
     if (!output_.empty()) {
@@ -342,8 +365,13 @@
             Fail();
             return;
           }
-          input_.resize(at + bytes);
           hub_.received_bytes_ += bytes;
+          if (closing_) {
+            input_.clear();
+            Read();
+            return;
+          }
+          input_.resize(at + bytes);
           if (InterpretInput([this] { ParseFrames(); }))
             Fail();
           if (closed_)
@@ -519,6 +547,7 @@
   bool peer_accepts_parts_ = false;
   bool writing_ = false;
   bool write_failed_ = false;
+  bool closing_ = false;
   bool flush_scheduled_ = false;
   bool closed_ = false;
 };
@@ -570,6 +599,21 @@
       });
 }
 
+void LinkHub::CloseWhenDelivered() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  // Closing a link removes it from the map.
+  auto links = links_;
+  for (const auto& [id, connection] : links)
+    connection->CloseWhenDelivered();
+}
+
+bool LinkHub::HasUndelivered() const {
+  return std::ranges::any_of(
+      links_, [](const auto& item) { return item.second->HasUndelivered(); });
+}
+
 std::shared_ptr<LinkHub::Connection> LinkHub::Find(LinkId link) {
   auto found = links_.find(link);
   return found == links_.end() ? nullptr : found->second;
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -44,6 +44,14 @@
   void Apply(const SendFrame& effect);
   void Apply(const SendForward& effect);
 
+  /// Stops listening, and closes each link once the peer has received what was
+  /// sent on it. Frames that arrive meanwhile are discarded.
+  void CloseWhenDelivered();
+
+  /// @return whether a peer has not yet received all that was sent to it.
+  bool HasUndelivered() const;
+
+  size_t links() const { return links_.size(); }
   /// @return links on which frames are still being written.
   size_t unfinished_writes() const { return unfinished_writes_; }
   uint64_t sent_bytes() const { return sent_bytes_; }
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -26,12 +26,16 @@
 /// the target is reported as serving. Later requests might not end before the
 /// process is killed.
 constexpr milliseconds kStopAdmissionWindow = 2700ms;
-/// Time reserved for closing connections before the process is killed.
+/// Time reserved for delivering the last answers and closing connections before
+/// the process is killed.
 constexpr milliseconds kConnectionCloseMargin = 400ms;
 /// Time before the process is killed at which a stopping node ends the requests
 /// that remain: the other nodes' results of it and the answers to callers need
 /// the time until `kConnectionCloseMargin`.
 constexpr milliseconds kEndRequestsMargin = 700ms;
+/// Time before the process is killed until which it delivers what was handed to
+/// connections.
+constexpr milliseconds kDeliveryMargin = 100ms;
 /// A stopping node takes a request whose deadline it will not reach only if the
 /// expected time fits this often into the time that is left.
 constexpr int kExpectedTimeSafetyFactor = 2;
@@ -173,7 +177,8 @@
     LogLine(LogCode::kNodeStopped, {{"calls", std::to_string(calls_.size())}});
     while (!calls_.empty())
       AbandonCall(calls_.begin()->second, Reason::kDraining);
-    effects_.push_back(Exit{});
+    effects_.push_back(Exit{
+        stopping_since_ + identity_.bounds.shutdown_timeout - kDeliveryMargin});
   }
 }
 
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -34,6 +34,11 @@
                   budget.MaxConnections());
 }
 
+/// Time for which a process that exits leaves its connections to the peers to
+/// close, after they have received everything.
+constexpr milliseconds kMinCloseTime = 100ms;
+/// Interval at which a process that exits checks what was delivered.
+constexpr milliseconds kCloseCheckInterval = 10ms;
 /// Delay of a wake-up above which new requests are refused.
 constexpr milliseconds kMaxEventLoopLag = 250ms;
 /// Time after which callers of requests refused for this reason should retry.
@@ -124,6 +129,8 @@
 }
 
 void MeshRuntime::Feed(EventBody event) {
+  if (closing_)
+    return;
   events_.push_back(std::move(event));
   if (processing_events_)
     return;
@@ -149,7 +156,7 @@
 }
 
 void MeshRuntime::ScheduleWake() {
-  if (!listening_)
+  if (!listening_ || closing_)
     return;
   TimePoint due = reducer_->NextTickTime();
   if (next_tick_at_ <= due && next_tick_at_ != TimePoint())
@@ -304,9 +311,30 @@
   log_.Write(effect.code, effect.fields);
 }
 
-void MeshRuntime::Apply(const Exit& /*effect*/) {
+void MeshRuntime::Apply(const Exit& effect) {
+  closing_ = true;
+  wake_timer_.cancel();
+  caller_server_.CloseWhenDelivered();
+  links_.CloseWhenDelivered();
+  StopWhenDelivered(effect.deadline, ReadNodeClock() + kMinCloseTime);
+}
+
+void MeshRuntime::StopWhenDelivered(TimePoint deadline, TimePoint earliest) {
+  TimePoint now = ReadNodeClock();
+  bool closed = caller_server_.connections() == 0 && links_.links() == 0;
+  bool delivered = now >= earliest && !caller_server_.HasUndelivered() &&
+                   !links_.HasUndelivered();
   log_.Flush();
-  context_.stop();
+  if (closed || delivered || now >= deadline) {
+    context_.stop();
+    return;
+  }
+  wake_timer_.expires_after(kCloseCheckInterval);
+  wake_timer_.async_wait(
+      [this, deadline, earliest](boost::system::error_code error) {
+        if (!error)
+          StopWhenDelivered(deadline, earliest);
+      });
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/mesh_runtime.h
+++ b/src/mesh/mesh_runtime.h
@@ -109,6 +109,12 @@
   void Apply(const DecodeConfig& effect);
   void Apply(const WriteLogLine& effect);
   void Apply(const Exit& effect);
+  /// Stops the event loop once all connections have delivered what was written
+  /// to them. The last answers and results are written just before the exit,
+  /// and the kernel discards what it holds of a connection that is reset.
+  /// @param deadline time at which it stops in any case.
+  /// @param earliest time before which it stops only if all connections closed.
+  void StopWhenDelivered(TimePoint deadline, TimePoint earliest);
 
   asio::io_context& context_;
   MeshRuntimeSettings settings_;
@@ -129,6 +135,7 @@
   std::chrono::milliseconds event_loop_lag_{0};  ///< Delay of the last wake-up.
   std::deque<EventBody> events_;
   bool processing_events_ = false;
+  bool closing_ = false;  ///< The reducer has ended; see `Exit`.
   bool listening_ = false;
   std::unordered_map<WorkId, HttpClient::ExchangeId> exchanges_;
   std::unordered_map<CallId, PendingCall> pending_calls_;
--- a/tests/mesh/node_exit_test.cc
+++ b/tests/mesh/node_exit_test.cc
@@ -99,6 +99,30 @@
   EXPECT_TRUE(lost_);
 }
 
+// Guards against a node that ends between the moment at which it hands a result
+// to a link and the turn of the event loop in which that is written.
+TEST_F(LinkEndTest, ResultIsDeliveredBeforeTheLinkCloses) {
+  auto result = std::make_shared<wire::Frame>(ResultFrame(7, 30'000));
+  hub_->Apply(SendFrame{LinkId{1}, result});
+  EXPECT_TRUE(hub_->HasUndelivered());
+  hub_->CloseWhenDelivered();
+  EXPECT_EQ(hub_->links(), 1u);
+  // Would reset the link if it stayed unread.
+  wire::Frame load;
+  load.mutable_load()->set_slots(1);
+  asio::write(peer_, asio::buffer(BytesOf(load)));
+  Run();
+  EXPECT_FALSE(hub_->HasUndelivered());
+  std::string received;
+  error_code error;
+  asio::read(peer_, asio::dynamic_buffer(received), error);
+  EXPECT_EQ(error, asio::error::eof);
+  EXPECT_TRUE(received.ends_with(BytesOf(*result)));
+  peer_.close();
+  Run();
+  EXPECT_EQ(hub_->links(), 0u);
+}
+
 /// A server whose answers have a body of 1 MB, and a client with a small
 /// receive buffer, so that the kernel of the server holds most of an answer.
 class CallerEndTest : public testing::Test {
@@ -147,8 +171,25 @@
   asio::ip::tcp::socket client_;
 };
 
-// Guards against a slow reader whose further input resets the connection, so that
-// the kernel discards what it holds of the last answer.
+// Guards against input that arrives during the exit and resets the connection,
+// which discards what the kernel holds of the answer.
+TEST_F(CallerEndTest, AnswerIsDeliveredBeforeTheConnectionCloses) {
+  Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  Run(100ms);
+  EXPECT_EQ(server_.unfinished_writes(), 0u);
+  EXPECT_TRUE(server_.HasUndelivered());
+  server_.CloseWhenDelivered();
+  Run(2500ms);
+  Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  Run(100ms);
+  EXPECT_EQ(server_.connections(), 1u);
+  EXPECT_GT(ReceiveAll().size(), kBodyBytes);
+  client_.close();
+  Run(100ms);
+  EXPECT_EQ(server_.connections(), 0u);
+}
+
+// The same for a connection that ends with its answer while the node runs on.
 TEST_F(CallerEndTest, SlowReaderReceivesTheLastAnswerOfItsConnection) {
   Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   Run(2500ms);
@@ -157,5 +198,17 @@
   EXPECT_GT(ReceiveAll().size(), kBodyBytes);
 }
 
+// Guards against a request that is cut off although its client could have been
+// told that it has not run.
+TEST_F(CallerEndTest, IncompleteRequestIsRefusedWhenTheNodeExits) {
+  Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab");
+  Run(100ms);
+  server_.CloseWhenDelivered();
+  Send("cde");
+  std::string answer = ReceiveAll();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+}
+
 }  // namespace
 }  // namespace comfreylock::mesh
