Log why an answer was lost: cause, accepted links, what an exit leaves

Cause: call_refused reason=target_failed is written for a lost link, a target that broke off and a cancelled request alike; a node that loses a link which another one opened writes nothing, although it ends the works of that link; node_stopped tells only the calls.

Change: call_refused has cause, the reason of the last result without an answer (at most 64 bytes of it); empty if the last result was an answer or nothing was tried. link_lost has accepted and works, and is also written for accepted links on which works are cancelled, not for idle ones. node_stopped has works, unfinished_writes and draining_ms, the time since the shutdown request.

--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -13,7 +13,8 @@
     {LogCode::kNodeDraining, LogLevel::kInfo, "node_draining",
      "Graceful shutdown began; no new calls are taken."},
     {LogCode::kNodeStopped, LogLevel::kInfo, "node_stopped",
-     "All requests in flight ended and the node exits."},
+     "The node exits; tells what is unfinished then and how long after the "
+     "shutdown request."},
     {LogCode::kSettingsInvalid, LogLevel::kError, "settings_invalid",
      "The settings file was refused; the node did not start."},
     {LogCode::kSettingsReloaded, LogLevel::kInfo, "settings_reloaded",
@@ -30,7 +31,8 @@
      "A stopping node ended the requests that remained shortly before its "
      "exit."},
     {LogCode::kCallRefused, LogLevel::kInfo, "call_refused",
-     "A caller's request was refused."},
+     "A caller's request was refused; cause is the reason of its last result "
+     "without an answer."},
     {LogCode::kCallRetried, LogLevel::kInfo, "call_retried",
      "A request is tried again on another target."},
     {LogCode::kAttemptFailed, LogLevel::kWarning, "attempt_failed",
@@ -61,7 +63,9 @@
      "A connection to another node was made."},
     {LogCode::kLinkLost, LogLevel::kWarning, "link_lost",
      "A connection to another node ended (closed, silent, replaced), could not "
-     "be made (refused) or led to another node (wrong_peer)."},
+     "be made (refused) or led to another node (wrong_peer). One that the "
+     "other "
+     "node opened is logged if works are cancelled because of it."},
     {LogCode::kEvacuationEntered, LogLevel::kWarning, "evacuation_entered",
      "The operator evacuates a zone: its targets get no new requests."},
     {LogCode::kEvacuationLeft, LogLevel::kInfo, "evacuation_left",
--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -170,7 +170,13 @@
   if (idle || now_ - stopping_since_ >=
                   identity_.bounds.shutdown_timeout - kConnectionCloseMargin) {
     stopped_ = true;
-    LogLine(LogCode::kNodeStopped, {{"calls", std::to_string(calls_.size())}});
+    auto draining =
+        std::chrono::duration_cast<milliseconds>(now_ - stopping_since_);
+    LogLine(LogCode::kNodeStopped,
+            {{"calls", std::to_string(calls_.size())},
+             {"works", std::to_string(works_.size())},
+             {"unfinished_writes", std::to_string(event.unfinished_writes)},
+             {"draining_ms", std::to_string(draining.count())}});
     while (!calls_.empty())
       AbandonCall(calls_.begin()->second, Reason::kDraining);
     effects_.push_back(Exit{});
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -73,7 +73,7 @@
                                              : identity.advertised_address;
 }
 
-/// Why a connection that this node opened to another one ended.
+/// Why a connection to another node ended.
 enum class LinkEnd {
   kSilent,     ///< Nothing was received on it for too long.
   kClosed,     ///< The connection ended.
@@ -186,6 +186,8 @@
     uint32_t run_count = 0;      ///< Attempts that a target may have run.
     bool may_have_run = false;
     bool shed = false;  ///< A target has shed it.
+    /// Reason of the last result; empty if that was an answer.
+    std::string cause;
     /// Holds a token of its organisation's bucket.
     bool holds_token = false;
   };
--- a/src/mesh/mesh_reducer_calls.cc
+++ b/src/mesh/mesh_reducer_calls.cc
@@ -49,6 +49,8 @@
 /// again for the cost of the bytes.
 constexpr milliseconds kZonePathCost = 10ms;
 constexpr int kMinServerErrorStatus = 500;
+/// Bytes that are kept of the reason that another node gives for a result.
+constexpr size_t kMaxCauseBytes = 64;
 
 }  // namespace
 
@@ -338,6 +340,9 @@
                             std::shared_ptr<wire::Outcome> outcome) {
   EndAttempt(call);
   call.tried_nodes.push_back(call.node);
+  bool answered = outcome->kind() == wire::Outcome::ANSWERED;
+  call.cause =
+      answered ? std::string() : outcome->reason().substr(0, kMaxCauseBytes);
   switch (outcome->kind()) {
     case wire::Outcome::ANSWERED: {
       ++call.run_count;
@@ -417,6 +422,7 @@
        {"route", call.forward->route()},
        {"service", call.service},
        {"reason", std::string(InfoOf(reason).name)},
+       {"cause", call.cause},
        {"rank", std::to_string(call.forward->rank())},
        {"not_run", not_run ? "true" : "false"},
        {"peer", call.node},
--- a/src/mesh/mesh_reducer_fleet.cc
+++ b/src/mesh/mesh_reducer_fleet.cc
@@ -219,14 +219,16 @@
     // A node that does not answer is logged once, not at every attempt.
     log = log || !std::exchange(state.refusal_logged, true);
   }
-  if (!link.accepted) {
+  if (link.accepted)
+    log = !link.works.empty();
+  else
     ++links_lost_[static_cast<size_t>(end)];
-    if (log) {
-      LogLine(LogCode::kLinkLost,
-              {{"peer", link.node},
-               {"reason", std::string(NameOf(end))},
-               {"calls", std::to_string(link.calls.size())}});
-    }
+  if (log) {
+    LogLine(LogCode::kLinkLost, {{"peer", link.node},
+                                 {"reason", std::string(NameOf(end))},
+                                 {"accepted", link.accepted ? "true" : "false"},
+                                 {"calls", std::to_string(link.calls.size())},
+                                 {"works", std::to_string(link.works.size())}});
   }
   if (current && !member->second.has_record)
     RemoveMember(link.node);
