--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -418,15 +418,27 @@
   answer.fields.emplace_back(kRequestIdHeader, id);
   if (!behaviour_.omits_signature)
     answer.fields.emplace_back("X-Comfreylock-Server-Signature", "s." + id_);
+  // A request may ask for another service time and another size of its answer.
+  size_t question_mark = request.request_target.find('?');
+  std::string query = question_mark == std::string::npos
+                          ? ""
+                          : request.request_target.substr(question_mark + 1);
+  std::string work_ms = QueryParameter(query, "work_ms");
+  std::string bytes = QueryParameter(query, "answer_bytes");
+  auto service_time = work_ms.empty() ? behaviour_.service_time
+                                      : milliseconds(ParseInteger(work_ms));
+  size_t answer_bytes = bytes.empty()
+                            ? behaviour_.answer_bytes
+                            : static_cast<size_t>(ParseInteger(bytes));
   answer.body =
-      behaviour_.answer_bytes > 0
-          ? std::string(behaviour_.answer_bytes, 'x')
+      answer_bytes > 0
+          ? std::string(answer_bytes, 'x')
           : "answer to " + id + " of " + std::to_string(request.body.size());
   answer.close = behaviour_.fails;
   if (behaviour_.fails)
     answer.status = 500;
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      context_, behaviour_.service_time);
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, service_time);
   timer->async_wait([this, timer, call, answer = std::move(answer)](
                         boost::system::error_code) mutable {
     server_.Respond(call, std::move(answer));
