Test: stop soak judges by the process that took the request

Cause: losses of a previous process's connection and times in which the callers stalled were counted. Change: the connection's opening decides, and stalls of the callers are recorded.

--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -26,6 +26,7 @@
     work_s: float = 0.0
     answer_bytes: int = 0
     budget_s: float = 0.0
+    opened_at: float = 0.0  # When its connection was opened.
     sent_whole_at: float = float("inf")
     behind: bool = False  # Sent behind another request on its connection.
     received: int = 0  # Bytes of the answer.
@@ -74,7 +75,7 @@
     return ""
 
 
-def mechanism(sent, stop, run_stop, work_end, lines):
+def mechanism(sent, run_host, stop, run_stop, work_end, lines):
     """Guesses from times and logs how an answer was lost."""
     text = " ".join(lines)
     if (stop and stop.killed) or (run_stop and run_stop.killed):
@@ -86,6 +87,11 @@
         return "connection %s%s" % (
             "cut at the exit" if exited else "cut before the exit",
             ", part of the answer" if sent.received else "")
+    ended = [node for node in ("entry", "run") if "requests_ended node=%s " %
+             (sent.host.name if node == "entry" else run_host.name) in text]
+    if ended:
+        return "requests of the %s node ended at the end of its grace time" % (
+            " and the ".join(ended))
     if "link_lost" in text and run_stop:
         gap = run_stop.exited_at - work_end
         return "link lost, run node exited %s" % (
@@ -108,7 +114,7 @@
                  r"node_draining|node_stopped|requests_ended|"
                  r"link_lost .*peer=(%s|%s) " % names, line)]
     work_end = run.time + sent.work_s
-    kind = mechanism(sent, stop, run_stop, work_end, lines)
+    kind = mechanism(sent, run_host, stop, run_stop, work_end, lines)
 
     def after(time_of, since):
         return "none" if not since else "%+.3f" % (time_of - since.at)
@@ -125,7 +131,7 @@
     return kind, "\n    ".join([text] + lines)
 
 
-def find_losses(requests, executions, hosts, logs):
+def find_losses(requests, executions, hosts, logs, stalls):
     """Returns {(excuse, mechanism): descriptions}; a loss without an excuse
     counts."""
     runs = soak_checks.executions_by_id(executions)
@@ -135,8 +141,12 @@
             "x-comfreylock-server-signature" in sent.headers)
         if complete or not sent.ended_at:
             continue
+        if any(begin < sent.ended_at and end > sent.sent_at
+               for begin, end in stalls):
+            losses["callers stalled", "not judged"].append(sent.id)
+            continue
         # The stop of the process that took the request.
-        stop = next((s for s in sent.host.stops if sent.sent_at < s.exited_at),
+        stop = next((s for s in sent.host.stops if sent.opened_at < s.exited_at),
                     None)
         if stop and stop.at > sent.ended_at:
             stop = None
