--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -146,12 +146,12 @@
             losses["callers stalled", "not judged"].append(sent.id)
             continue
         # The stop of the process that took the request.
-        stop = next((s for s in sent.host.stops if sent.opened_at < s.exited_at),
-                    None)
+        stop = next((s for s in sent.host.stops
+                     if sent.opened_at < s.exited_at), None)
         if stop and stop.at > sent.ended_at:
             stop = None
         if runs[sent.id]:
-            run = runs[sent.id][-1]
+            run = max(runs[sent.id], key=lambda execution: execution.time)
             run_host = hosts[int(run.target.split("-")[1])]
             kind, text = describe(sent, run, run_host, stop, logs)
             losses[excuse(sent, run, run_host, stop), kind].append(text)
