Log answers that callers do not get completely (203 answer_cut)

Cause: an answer that is cut leaves no line at all, whether the caller closed, the node gave it up for its memory, or the process ended. The names of a request are forgotten once its answer is handed to HttpServer.

Change: HttpServer tells on_answer_cut of each answer that was handed to it and is not completely written when its connection ends, with the names of the request, the bytes of the answer, those not written, and why; of answers and requests behind the last one of a connection; and of requests that the node leaves without an answer. A caller that leaves before there is an answer causes no call. The runtime writes the line, and before the exit one for each answer that is not completely written. UnwrittenAnswers knows which answers are concerned; it does no I/O. What it holds is forgotten when the answer is written, is charged to the answers, and counts as unread bytes, so that long request ids do not get around that limit.

Not covered: what the kernel holds of a written answer at the exit (NodeExit.answer_in_kernel_buffer still leaves no line at the node).

--- a/include/comfreylock/log_event.h
+++ b/include/comfreylock/log_event.h
@@ -23,6 +23,7 @@
   kCallRefused = 200,
   kCallRetried = 201,
   kAttemptFailed = 202,
+  kAnswerCut = 203,
   kWorkRejected = 300,
   kTargetCrashed = 301,
   kRequestQuarantined = 302,
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -37,6 +37,9 @@
      "A request is tried again on another target."},
     {LogCode::kAttemptFailed, LogLevel::kWarning, "attempt_failed",
      "An attempt to reach a target's node failed."},
+    {LogCode::kAnswerCut, LogLevel::kWarning, "answer_cut",
+     "The connection of a caller ended before the answer was written to it "
+     "completely, or this node ended it before there was an answer."},
     {LogCode::kWorkRejected, LogLevel::kInfo, "work_rejected",
      "Admission refused a request before it was started."},
     {LogCode::kTargetCrashed, LogLevel::kWarning, "target_crashed",
--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -90,11 +90,12 @@
 
   void Start() { Read(); }
 
-  void Respond(CallId call, HttpAnswer answer) {
+  void Respond(CallId call, HttpAnswer answer, RequestNames request) {
     for (PendingAnswer& pending : pending_answers_) {
       if (pending.call != call || pending.answered)
         continue;
       pending.answered = true;
+      pending.request = std::move(request);
       if (server_.close_after_answers_ || answer.close)
         pending.close = true;
       answer.close = pending.close;
@@ -104,7 +105,7 @@
           !server_.MakeRoom(0, MemoryBudget::Use::kNoBody, this)) {
         // The request has run, so there is no other answer to send.
         server_.budget_.CountRefusal();
-        Close();
+        Close(CutReason::kMemory);
         return;
       }
       break;
@@ -128,7 +129,7 @@
   void AbandonStalled() {
     server_.budget_.CountAbandoned();
     if (writing_ && sent_.size() > kLargeAnswerBytes)
-      Close();
+      Close(CutReason::kStalled);
     else
       RefuseAndClose(kRequestTimeout);
   }
@@ -158,7 +159,7 @@
     if (now < deadline_)
       return;
     if (!output_.empty() || writing_ || final_answer_queued_) {
-      Close();
+      Close(CutReason::kWriteTimeout);
       return;
     }
     bool partial = parser_ && request_started_;
@@ -168,13 +169,19 @@
       return;
     }
     if (pending_answers_.empty())
-      Close();
+      Close(CutReason::kWriteTimeout);
   }
 
-  void Close() {
+  /// @param reason told about the answers that are not completely written.
+  void Close(CutReason reason) {
     if (closed_)
       return;
     closed_ = true;
+    ReportPending(reason);
+    // The end of a write in progress tells how much of it was written.
+    cut_reason_ = reason;
+    if (!writing_)
+      ReportUnwritten(reason);
     SetWriting(false);
     error_code ignored;
     socket_.close(ignored);
@@ -197,6 +204,28 @@
     }
   }
 
+  /// Reports the answers that are neither written nor being written, and the
+  /// requests that this node leaves without an answer.
+  void ReportPending(CutReason reason) {
+    if (!server_.handlers_.on_answer_cut)
+      return;
+    for (const PendingAnswer& pending : pending_answers_) {
+      // A caller that leaves before there is an answer is ordinary.
+      if (!pending.call ||
+          (!pending.answered && reason == CutReason::kClosedByCaller))
+        continue;
+      size_t bytes = pending.bytes.size();
+      server_.handlers_.on_answer_cut(
+          {pending.call, pending.request, bytes, bytes, reason});
+    }
+  }
+
+  /// Reports the answers that are not completely written.
+  void ReportUnwritten(CutReason reason) {
+    for (const CutAnswer& cut : unwritten_.Take(reason))
+      server_.handlers_.on_answer_cut(cut);
+  }
+
  private:
   using Parser = http::request_parser<http::string_body>;
 
@@ -208,6 +237,7 @@
     bool answered = false;
     MemoryCharge charge;  ///< For the request.
     std::string bytes;
+    RequestNames request;
   };
 
   void SetTimeout(std::chrono::milliseconds time) {
@@ -224,7 +254,7 @@
   void UpdateAnswerCharge() {
     if (closed_)
       return;
-    size_t bytes = output_.size() + sent_.size();
+    size_t bytes = output_.size() + sent_.size() + unwritten_.held_bytes();
     for (const PendingAnswer& pending : pending_answers_)
       bytes += pending.bytes.size();
     answer_charge_.Resize(bytes);
@@ -281,7 +311,7 @@
           if (closed_)
             return;
           if (error) {
-            Close();
+            Close(CutReason::kClosedByCaller);
             return;
           }
           if (final_answer_queued_) {
@@ -293,7 +323,7 @@
           // Under load, a request may be read only after its client has
           // disconnected.
           if (IsClosedByPeer(socket_)) {
-            Close();
+            Close(CutReason::kClosedByCaller);
             return;
           }
           if (stop_parsing_) {
@@ -318,7 +348,9 @@
   ///     the earlier answers only after it has sent all of it.
   bool AcceptsRequests() const {
     return pending_answers_.size() < kMaxPipelinedRequests &&
-           (parser_ || output_.size() + sent_.size() <= kMaxUnreadAnswerBytes);
+           (parser_ ||
+            output_.size() + sent_.size() + unwritten_.held_bytes() <=
+                kMaxUnreadAnswerBytes);
   }
 
   void ParseInput() {
@@ -328,7 +360,7 @@
     if (parser_)
       RefuseAndClose(kBadRequest);
     else
-      Close();
+      Close(CutReason::kInternalError);
   }
 
   void Parse() {
@@ -509,16 +541,22 @@
     while (!pending_answers_.empty() && pending_answers_.front().answered &&
            !final_answer_queued_) {
       PendingAnswer& pending = pending_answers_.front();
+      size_t size = pending.bytes.size();
       if (output_.empty())
         output_ = std::move(pending.bytes);
       else
         output_ += pending.bytes;
+      if (pending.call && server_.handlers_.on_answer_cut) {
+        unwritten_.Add(pending.call, std::move(pending.request), size,
+                       sent_.size() + output_.size());
+      }
       final_answer_queued_ = pending.close;
       server_.calls_.erase(pending.call);
       pending_answers_.pop_front();
     }
     if (final_answer_queued_) {
       // Requests behind the answer that closes the connection get no answer.
+      ReportPending(CutReason::kLastAnswer);
       std::vector<CallId> unanswered;
       for (const PendingAnswer& pending : pending_answers_) {
         if (pending.call && !pending.answered)
@@ -530,6 +568,7 @@
         server_.handlers_.on_call_cancelled(call);
       }
     }
+    UpdateAnswerCharge();
     Write();
   }
 
@@ -546,14 +585,22 @@
     SetTimeout(kWriteTimeout);
     asio::async_write(
         socket_, asio::buffer(sent_),
-        [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          if (closed_)
+        [this](error_code error, size_t bytes) {
+          unwritten_.SetProgress(bytes);
+          return asio::transfer_all()(error, bytes);
+        },
+        [this, self = shared_from_this()](error_code error, size_t bytes) {
+          unwritten_.SetProgress(bytes);
+          if (closed_) {
+            ReportUnwritten(cut_reason_);
             return;
+          }
           SetWriting(false);
           if (error) {
-            Close();
+            Close(CutReason::kClosedByCaller);
             return;
           }
+          unwritten_.EndWrite();
           sent_.clear();
           if (sent_.capacity() > kMaxKeptOutputBytes)
             sent_.shrink_to_fit();
@@ -596,6 +643,8 @@
   std::deque<PendingAnswer> pending_answers_;
   std::string output_;
   std::string sent_;
+  UnwrittenAnswers unwritten_;
+  CutReason cut_reason_ = CutReason::kClosedByCaller;  ///< Set by `Close`.
   Clock::time_point deadline_;
   MemoryCharge reading_charge_;  ///< For the request that is being read.
   MemoryCharge answer_charge_;
@@ -636,12 +685,19 @@
   ScheduleTimeoutCheck();
 }
 
-void HttpServer::Respond(CallId call, HttpAnswer answer) {
+void HttpServer::Respond(CallId call, HttpAnswer answer, RequestNames request) {
   auto found = calls_.find(call);
   if (found == calls_.end())
     return;
   if (auto connection = found->second.lock())
-    connection->Respond(call, std::move(answer));
+    connection->Respond(call, std::move(answer), std::move(request));
+}
+
+void HttpServer::ReportAnswersCutByExit() {
+  for (const auto& [key, connection] : connections_) {
+    connection->ReportPending(CutReason::kShutdown);
+    connection->ReportUnwritten(CutReason::kShutdown);
+  }
 }
 
 void HttpServer::Accept() {
@@ -698,7 +754,7 @@
     next_idle_search_ = now + kSearchInterval;
     return false;
   }
-  closed->Close();
+  closed->Close(CutReason::kStalled);
   return true;
 }
 
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -14,6 +14,7 @@
 
 #include "mesh/http_types.h"
 #include "mesh/memory_budget.h"
+#include "mesh/unwritten_answers.h"
 
 /// An HTTP/1.1 server that reads complete requests, also pipelined ones, and
 /// sends the answers in the order of the requests.
@@ -32,6 +33,11 @@
     std::function<void(CallId)> on_call_cancelled;
     /// @return limits for the next request.
     std::function<CallerLimits()> limits;
+    /// Called when the connection ends before an answer was written
+    /// completely, and before `on_call_cancelled` when this node ends it
+    /// before there was an answer. Must not call the server. Null: answers are
+    /// not observed.
+    std::function<void(const CutAnswer&)> on_answer_cut = nullptr;
   };
 
   /// Bounds of what the server holds.
@@ -54,7 +60,12 @@
   void CloseAfterAnswers() { close_after_answers_ = true; }
 
   /// Answers a request; does nothing if the client has disconnected.
-  void Respond(CallId call, HttpAnswer answer);
+  /// @param request names the request in `CutAnswer`.
+  void Respond(CallId call, HttpAnswer answer, RequestNames request = {});
+
+  /// Reports the answers that are not completely written as cut by the exit of
+  /// the process. Called once, immediately before it.
+  void ReportAnswersCutByExit();
 
   /// Makes room for `bytes` more: abandons the bodies and answers that have
   /// stalled, the one that has stalled longest first.
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -39,6 +39,10 @@
 /// Time after which callers of requests refused for this reason should retry.
 constexpr milliseconds kLagRetryAfter = 800ms;
 
+RequestNames NamesOf(const wire::Forward& forward) {
+  return {forward.request_id(), forward.organisation(), forward.route()};
+}
+
 wire::Hello MakeHello(const NodeIdentity& identity) {
   wire::Hello hello;
   hello.set_node(identity.node);
@@ -76,7 +80,8 @@
                       [this] {
                         const FleetConfig* config = reducer_->config();
                         return config ? config->limits : CallerLimits();
-                      }},
+                      },
+                      [this](const CutAnswer& cut) { OnAnswerCut(cut); }},
                      {&budget_, MaxCallerConnections(settings_, budget_)}),
       target_client_(context,
                      settings_.identity.target_address,
@@ -218,24 +223,44 @@
   return text;
 }
 
-void MeshRuntime::CountAnswer(CallId call, const std::string& result) {
+RequestNames MeshRuntime::CountAnswer(CallId call, const std::string& result) {
   auto found = pending_calls_.find(call);
   if (found == pending_calls_.end())
-    return;
+    return {};
   const wire::Forward& forward = *found->second.forward;
   metrics_.CountAnswer(forward.route(), forward.organisation(), result,
                        ReadNodeClock() - found->second.received_at);
+  RequestNames request = NamesOf(forward);
   pending_calls_.erase(found);
+  return request;
+}
+
+void MeshRuntime::OnAnswerCut(const CutAnswer& cut) {
+  auto pending = pending_calls_.find(cut.call);
+  RequestNames request = pending == pending_calls_.end()
+                             ? cut.request
+                             : NamesOf(*pending->second.forward);
+  Log(LogCode::kAnswerCut,
+      {{"request_id", std::move(request.request_id)},
+       {"organisation", std::move(request.organisation)},
+       {"route", std::move(request.route)},
+       {"reason", std::string(NameOf(cut.reason))},
+       {"bytes", std::to_string(cut.bytes)},
+       {"unwritten_bytes", std::to_string(cut.unwritten_bytes)}});
 }
 
 void MeshRuntime::Apply(const DeliverAnswer& effect) {
-  CountAnswer(effect.call, std::to_string(effect.answer->status()));
-  caller_server_.Respond(effect.call, caller_protocol_.Encode(effect));
+  RequestNames request =
+      CountAnswer(effect.call, std::to_string(effect.answer->status()));
+  caller_server_.Respond(effect.call, caller_protocol_.Encode(effect),
+                         std::move(request));
 }
 
 void MeshRuntime::Apply(const RefuseCall& effect) {
-  CountAnswer(effect.call, std::string(InfoOf(effect.reason).name));
-  caller_server_.Respond(effect.call, caller_protocol_.Encode(effect));
+  RequestNames request =
+      CountAnswer(effect.call, std::string(InfoOf(effect.reason).name));
+  caller_server_.Respond(effect.call, caller_protocol_.Encode(effect),
+                         std::move(request));
 }
 
 void MeshRuntime::Apply(const RunOnTarget& effect) {
@@ -305,6 +330,7 @@
 }
 
 void MeshRuntime::Apply(const Exit& /*effect*/) {
+  caller_server_.ReportAnswersCutByExit();
   log_.Flush();
   context_.stop();
 }
--- a/src/mesh/mesh_runtime.h
+++ b/src/mesh/mesh_runtime.h
@@ -90,7 +90,10 @@
   };
 
   void OnRequest(CallId call, HttpRequest request);
-  void CountAnswer(CallId call, const std::string& result);
+  /// Counts the answer to a call, which is no longer pending then.
+  /// @return the names of the call's request.
+  RequestNames CountAnswer(CallId call, const std::string& result);
+  void OnAnswerCut(const CutAnswer& cut);
   void Reduce(EventBody event);
   void ScheduleWake();
   /// Logs the state of memory pressure when it changes.
