Charge the room of a large frame when the frame begins

Callers saw: no answer from a node at whose port for other nodes 20 connections had begun large frames; its memory was six times what its settings allow. Cause: room for a frame above 256 KB was asked of the budget when the frame began, and charged only as its bytes arrived. Frames that began together were each granted the same room. Change: the whole frame is charged with the grant. A frame that begins in a buffer which an earlier one has left large is asked for too.

--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -337,7 +337,7 @@
             return;
           if (input_.empty() && input_.capacity() > kMaxKeptBufferBytes)
             input_.shrink_to_fit();
-          input_charge_.Resize(input_.size());
+          input_charge_.Resize(std::max(input_.size(), begun_frame_bytes_));
           Read();
         });
   }
@@ -356,13 +356,17 @@
         // Requests come in large frames only from nodes that do not send parts.
         // An answer must not fail, and with it the link, because uploads fill
         // the memory that large bodies may use.
-        if (size > kMaxKeptBufferBytes && input_.capacity() < size &&
+        if (size > kMaxKeptBufferBytes && begun_frame_bytes_ == 0 &&
             input_.size() - at > kLengthPrefixBytes) {
           auto use = input_[at + kLengthPrefixBytes] == kForwardTag
                          ? MemoryBudget::Use::kLargeBody
                          : MemoryBudget::Use::kNoBody;
           if (!hub_.admission_(size, use))
             throw InputError("no memory for a frame");
+          // Charged at once: frames that begin together each find the room that
+          // the others have not filled yet.
+          begun_frame_bytes_ = size + kLengthPrefixBytes;
+          input_charge_.Resize(begun_frame_bytes_);
           input_.erase(0, std::exchange(at, 0));
           input_.reserve(size + kLengthPrefixBytes + kReadBytes);
         }
@@ -374,6 +378,7 @@
                                  static_cast<int>(size)))
         throw InputError("frame cannot be parsed");
       CheckFrame(*frame);
+      begun_frame_bytes_ = 0;
       at += kLengthPrefixBytes + size;
       HandleFrame(std::move(charged), size);
     }
@@ -495,6 +500,8 @@
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
   std::string input_;
+  /// Size of the large frame that `input_` begins with; 0: there is none.
+  size_t begun_frame_bytes_ = 0;
   std::string output_;
   std::string sent_;
   MemoryCharge input_charge_;
