Limit the links that a node accepts

Callers saw: nothing yet; a node had 565 of 300 descriptors open, and none would have been left for callers, the store and the target. Cause: callers and the node's own interfaces have shares of the descriptors, links from other nodes had none. Whoever connects to the port for other nodes kept a descriptor for the second that a greeting may take. Change: accepted links have a quarter of the descriptors that are not reserved. At that limit the oldest link without a greeting is closed for a new one, or else the new one.

--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -184,9 +184,14 @@
     incoming_.clear();
     input_charge_.Resize(0);
     output_charge_.Resize(0);
+    if (IsAccepted())
+      --hub_.accepted_;
     hub_.links_.erase(id_);
   }
 
+  bool IsAccepted() const { return (id_.value & kAcceptedLinkBit) != 0; }
+  bool hello_received() const { return hello_received_; }
+
  private:
   /// A request whose body is being sent in parts.
   struct OutgoingBody {
@@ -396,8 +401,7 @@
       hello_received_ = true;
       peer_accepts_parts_ = frame.hello().body_parts();
       timer_.cancel();
-      bool accepted = (id_.value & kAcceptedLinkBit) != 0;
-      hub_.event_sink_(LinkOpened{id_, frame.hello(), accepted});
+      hub_.event_sink_(LinkOpened{id_, frame.hello(), IsAccepted()});
       return;
     }
     switch (frame.body_case()) {
@@ -519,13 +523,13 @@
 LinkHub::LinkHub(asio::io_context& context,
                  wire::Hello hello,
                  EventSink event_sink,
-                 MemoryBudget& budget,
-                 Admission admission)
+                 Bounds bounds)
     : context_(context),
       hello_(std::move(hello)),
       event_sink_(std::move(event_sink)),
-      budget_(budget),
-      admission_(std::move(admission)),
+      budget_(bounds.budget),
+      admission_(std::move(bounds.admission)),
+      max_accepted_(bounds.max_accepted),
       acceptor_(context),
       accept_timer_(context) {}
 
@@ -547,6 +551,12 @@
         if (error == asio::error::operation_aborted)
           return;
         if (!error) {
+          if (accepted_ >= max_accepted_ && !CloseUngreetedLink()) {
+            // `socket` is closed when it goes out of scope.
+            Accept();
+            return;
+          }
+          ++accepted_;
           LinkId id{kAcceptedLinkBit | ++last_accepted_};
           auto connection =
               std::make_shared<Connection>(*this, id, std::move(socket));
@@ -563,6 +573,18 @@
       });
 }
 
+bool LinkHub::CloseUngreetedLink() {
+  // Ids of accepted links rise, and their order is that of the map.
+  auto oldest = std::ranges::find_if(links_, [](const auto& item) {
+    return item.second->IsAccepted() && !item.second->hello_received();
+  });
+  if (oldest == links_.end())
+    return false;
+  std::shared_ptr<Connection> link = oldest->second;
+  link->Close();
+  return true;
+}
+
 std::shared_ptr<LinkHub::Connection> LinkHub::Find(LinkId link) {
   auto found = links_.find(link);
   return found == links_.end() ? nullptr : found->second;
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -24,15 +24,23 @@
   /// @return whether that many bytes more may be held; may make room for them.
   using Admission = std::function<bool(size_t bytes, MemoryBudget::Use use)>;
 
+  /// Bounds of what the hub holds.
+  struct Bounds {
+    /// Charged with what is received and what is not yet sent; must outlive the
+    /// hub and the frames that it has passed on.
+    MemoryBudget& budget;
+    Admission admission;
+    /// Links that other nodes may have opened. Above it, the oldest one without
+    /// a Hello is closed, or else the new one.
+    size_t max_accepted = 1024;
+  };
+
   /// @param hello sent first on each connection.
   /// @param event_sink receives the events of all links.
-  /// @param budget charged with what is received and what is not yet sent; must
-  ///     outlive the hub and the frames that it has passed on.
   LinkHub(asio::io_context& context,
           wire::Hello hello,
           EventSink event_sink,
-          MemoryBudget& budget,
-          Admission admission);
+          Bounds bounds);
   ~LinkHub();
 
   /// @param address IP:PORT. @throws std::exception if it cannot be bound.
@@ -53,6 +61,9 @@
   class Connection;
 
   void Accept();
+  /// Closes the accepted link that has been without a Hello for longest.
+  /// @return false if there is none.
+  bool CloseUngreetedLink();
   std::shared_ptr<Connection> Find(LinkId link);
 
   asio::io_context& context_;
@@ -60,10 +71,12 @@
   EventSink event_sink_;
   MemoryBudget& budget_;
   Admission admission_;
+  size_t max_accepted_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
   std::map<LinkId, std::shared_ptr<Connection>> links_;
   uint64_t last_accepted_ = 0;
+  size_t accepted_ = 0;  ///< Open links that other nodes opened.
   size_t unfinished_writes_ = 0;
   uint64_t sent_bytes_ = 0;
   uint64_t received_bytes_ = 0;
--- a/src/mesh/memory_budget.cc
+++ b/src/mesh/memory_budget.cc
@@ -30,6 +30,17 @@
 /// other half.
 constexpr size_t kCallerDescriptorFraction = 2;
 constexpr size_t kMinCallerDescriptors = 16;
+/// The same for links that other nodes opened. The links that this node opens
+/// and the connections to the target have the last quarter.
+constexpr size_t kAcceptedLinkDescriptorFraction = 4;
+constexpr size_t kMinAcceptedLinkDescriptors = 16;
+
+/// @return an even share of the descriptors that are not reserved.
+size_t ShareOfDescriptors(size_t max_descriptors, size_t fraction, size_t min) {
+  size_t left =
+      max_descriptors - std::min(kReservedDescriptors, max_descriptors);
+  return std::max(left / fraction, min);
+}
 
 }  // namespace
 
@@ -103,9 +114,13 @@
 }
 
 size_t MaxCallerDescriptors(size_t max_descriptors) {
-  size_t left =
-      max_descriptors - std::min(kReservedDescriptors, max_descriptors);
-  return std::max(left / kCallerDescriptorFraction, kMinCallerDescriptors);
+  return ShareOfDescriptors(max_descriptors, kCallerDescriptorFraction,
+                            kMinCallerDescriptors);
+}
+
+size_t MaxAcceptedLinkDescriptors(size_t max_descriptors) {
+  return ShareOfDescriptors(max_descriptors, kAcceptedLinkDescriptorFraction,
+                            kMinAcceptedLinkDescriptors);
 }
 
 }  // namespace comfreylock::mesh
--- a/src/mesh/memory_budget.h
+++ b/src/mesh/memory_budget.h
@@ -140,6 +140,10 @@
 /// @return how many of them callers' connections may use.
 size_t MaxCallerDescriptors(size_t max_descriptors);
 
+/// @param max_descriptors descriptors that the process may have open.
+/// @return how many of them links that other nodes opened may use.
+size_t MaxAcceptedLinkDescriptors(size_t max_descriptors);
+
 }  // namespace comfreylock::mesh
 
 #endif  // COMFREYLOCK_MESH_MEMORY_BUDGET_H_
--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -81,14 +81,14 @@
       target_client_(context,
                      settings_.identity.target_address,
                      TargetLimits(budget_)),
-      links_(
-          context,
-          MakeHello(settings_.identity),
-          [this](EventBody event) { Feed(std::move(event)); },
-          budget_,
-          [this](size_t bytes, MemoryBudget::Use use) {
-            return caller_server_.MakeRoom(bytes, use);
-          }),
+      links_(context,
+             MakeHello(settings_.identity),
+             [this](EventBody event) { Feed(std::move(event)); },
+             {budget_,
+              [this](size_t bytes, MemoryBudget::Use use) {
+                return caller_server_.MakeRoom(bytes, use);
+              },
+              MaxAcceptedLinkDescriptors(settings_.max_descriptors)}),
       wake_timer_(context) {}
 
 MeshRuntime::~MeshRuntime() = default;
--- a/tests/mesh/memory_budget_test.cc
+++ b/tests/mesh/memory_budget_test.cc
@@ -111,6 +111,14 @@
   EXPECT_EQ(MaxCallerDescriptors(0), 16u);
 }
 
+// Guards against links of strangers that take the descriptors of callers, the
+// store and the target.
+TEST(MemoryBudgetTest, AcceptedLinksLeaveDescriptorsForOthers) {
+  EXPECT_EQ(MaxAcceptedLinkDescriptors(4100), 975u);
+  EXPECT_EQ(MaxAcceptedLinkDescriptors(300), 25u);
+  EXPECT_EQ(MaxAcceptedLinkDescriptors(0), 16u);
+}
+
 /// A server with little memory, and clients with unfinished requests.
 class ServerWithLittleMemoryTest : public testing::Test {
  protected:
@@ -230,7 +238,7 @@
             received_.push_back(*received);
           lost_ |= std::holds_alternative<LinkClosed>(event);
         },
-        budget_, admit);
+        LinkHub::Bounds{budget_, admit});
     std::string address =
         "127.0.0.1:" + std::to_string(25'000 + getpid() % 900);
     receiver_->Listen(address);
@@ -241,7 +249,7 @@
             answers_.push_back(*received);
           lost_ |= std::holds_alternative<LinkClosed>(event);
         },
-        sender_budget_, [](size_t, Use) { return true; });
+        LinkHub::Bounds{sender_budget_, [](size_t, Use) { return true; }});
     sender_->Apply(OpenLink{LinkId{1}, address});
     Run();
   }
--- a/tests/mesh/peer_input_test.cc
+++ b/tests/mesh/peer_input_test.cc
@@ -291,7 +291,7 @@
     closed += std::holds_alternative<LinkClosed>(event) ? 1 : 0;
     frames += std::holds_alternative<FrameReceived>(event) ? 1 : 0;
   };
-  LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
+  LinkHub hub(context, wire::Hello(), sink, {budget, AdmissionOf(budget)});
   hub.Listen(Address(1));
   std::vector<std::string> all = UnacceptableFrames();
   for (const std::string& frame : all)
@@ -333,7 +333,7 @@
       throw std::out_of_range("frame");
     closed += std::holds_alternative<LinkClosed>(event) ? 1 : 0;
   };
-  LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
+  LinkHub hub(context, wire::Hello(), sink, {budget, AdmissionOf(budget)});
   hub.Listen(Address(2));
   wire::Frame load;
   load.mutable_load()->set_slots(1);
@@ -341,6 +341,47 @@
   EXPECT_EQ(closed, 1);
 }
 
+// Guards against connections that take the descriptors of a node, and against
+// the loss of a link to another node for one of them.
+TEST(PeerInputTest, LinkWithoutHelloIsClosedForNewOne) {
+  asio::io_context context;
+  MemoryBudget budget;
+  int opened = 0;
+  int closed = 0;
+  auto sink = [&](EventBody event) {
+    opened += std::holds_alternative<LinkOpened>(event) ? 1 : 0;
+    closed += std::holds_alternative<LinkClosed>(event) ? 1 : 0;
+  };
+  LinkHub hub(context, wire::Hello(), sink, {budget, AdmissionOf(budget), 2});
+  hub.Listen(Address(3));
+  auto connect = [&](const std::string& bytes) {
+    asio::ip::tcp::socket client(context);
+    client.connect(ParseEndpoint(Address(3)));
+    asio::write(client, asio::buffer(bytes));
+    context.run_for(50ms);
+    return client;
+  };
+  auto is_closed = [](asio::ip::tcp::socket& client) {
+    char bytes[4096];
+    ssize_t got = 0;
+    do {
+      got = recv(client.native_handle(), bytes, sizeof(bytes), MSG_DONTWAIT);
+    } while (got > 0);
+    return got == 0 || errno != EAGAIN;
+  };
+  std::string hello = FrameBytes(HelloFrame());
+  auto peer = connect(hello);
+  auto silent = connect("");
+  auto second_peer = connect(hello);
+  auto late = connect(hello);
+  EXPECT_EQ(opened, 2);
+  EXPECT_EQ(closed, 0);
+  EXPECT_FALSE(is_closed(peer));
+  EXPECT_TRUE(is_closed(silent));
+  EXPECT_FALSE(is_closed(second_peer));
+  EXPECT_TRUE(is_closed(late));
+}
+
 // Guards against an address that ends the node when it opens a link to it.
 TEST(PeerInputTest, LinkToUnusableAddressIsReportedAsClosed) {
   for (const char* address :
@@ -354,7 +395,7 @@
       if (const auto* link = std::get_if<LinkClosed>(&event))
         closed.push_back(link->link.value);
     };
-    LinkHub hub(context, wire::Hello(), sink, budget, AdmissionOf(budget));
+    LinkHub hub(context, wire::Hello(), sink, {budget, AdmissionOf(budget)});
     hub.Apply(OpenLink{LinkId{7}, address});
     EXPECT_TRUE(closed.empty()) << address;
     context.run_for(1500ms);
