Keep the answers that callers do not read within the memory limit

Cause: a request is admitted by the size of its head and body. Its answer was counted when it arrived, but the budget was asked only for answers above 64 KB, and a connection counted as stalled only if one piece of that size was being written. 16 requests of a connection could each add an answer below that. Change: the node stays within the limit at each answer. It closes connections with more than 64 KB of unread answers that make no progress, then those with the most unread bytes, 8 KB at least. Progress of a write is measured, 4 KB in 0.7 s, as for bodies. No status is sent for the requests: they have run.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -53,13 +53,18 @@
 /// Time without progress after which a body or an answer counts as stalled. It
 /// is abandoned then if its memory is needed.
 constexpr std::chrono::milliseconds kStallTime = 700ms;
-/// Bytes of a body that count as progress, so that single bytes do not.
+/// Bytes of a body or an answer that count as progress, so that single bytes do
+/// not.
 constexpr size_t kProgressBytes = 4 * 1024;
 /// Interval between two searches for stalled or idle connections that found
 /// none. A search visits all connections.
 constexpr std::chrono::milliseconds kSearchInterval = 20ms;
-/// Answers above this size may be given up for want of memory.
+/// Unread answers of a connection above which they count as stalled when they
+/// make no progress.
 constexpr size_t kLargeAnswerBytes = 64 * 1024;
+/// Unread answers of a connection up to which it is not closed to stay within
+/// the limit. All connections together hold no more than what is not counted.
+constexpr size_t kMinClosedAnswerBytes = 8 * 1024;
 /// Size of a written answer above which its memory is released at once.
 constexpr size_t kMaxKeptOutputBytes = 64 * 1024;
 /// `Retry-After` of requests that are refused for want of memory, spread over
@@ -100,25 +105,22 @@
       answer.close = pending.close;
       pending.bytes = Serialize(answer, pending.head_request);
       UpdateAnswerCharge();
-      if (pending.bytes.size() > kLargeAnswerBytes &&
-          !server_.MakeRoom(0, MemoryBudget::Use::kNoBody, this)) {
-        // The request has run, so there is no other answer to send.
-        server_.budget_.CountRefusal();
-        Close();
-        return;
-      }
       break;
     }
     FlushAnswers();
+    server_.StayWithinLimit();
   }
 
+  /// @return bytes of answers that the client has not read.
+  size_t unread_answer_bytes() const { return answer_charge_.bytes(); }
+
   /// @return since when the connection has held memory without progress, or
   ///     nothing if it holds none or waits for this node.
   std::optional<Clock::time_point> StalledSince() const {
     if (closed_ || final_answer_queued_)
       return std::nullopt;
-    if (writing_ && sent_.size() > kLargeAnswerBytes)
-      return progress_at_;
+    if (HoldsManyAnswers())
+      return write_progress_at_;
     if (parser_ && header_done_ && reading_charge_.bytes() > 0)
       return progress_at_;
     return std::nullopt;
@@ -127,7 +129,7 @@
   /// Gives up the body or the answer that has stalled.
   void AbandonStalled() {
     server_.budget_.CountAbandoned();
-    if (writing_ && sent_.size() > kLargeAnswerBytes)
+    if (HoldsManyAnswers())
       Close();
     else
       RefuseAndClose(kRequestTimeout);
@@ -210,6 +212,10 @@
     std::string bytes;
   };
 
+  bool HoldsManyAnswers() const {
+    return writing_ && answer_charge_.bytes() > kLargeAnswerBytes;
+  }
+
   void SetTimeout(std::chrono::milliseconds time) {
     deadline_ = Clock::now() + time;
   }
@@ -542,10 +548,18 @@
     }
     SetWriting(true);
     sent_ = std::exchange(output_, {});
-    progress_at_ = Clock::now();
+    write_progress_at_ = Clock::now();
+    write_progress_bytes_ = 0;
     SetTimeout(kWriteTimeout);
     asio::async_write(
         socket_, asio::buffer(sent_),
+        [this](error_code error, size_t bytes) {
+          if (bytes >= write_progress_bytes_ + kProgressBytes) {
+            write_progress_bytes_ = bytes;
+            write_progress_at_ = Clock::now();
+          }
+          return asio::transfer_all()(error, bytes);
+        },
         [this, self = shared_from_this()](error_code error, size_t /*bytes*/) {
           if (closed_)
             return;
@@ -599,10 +613,12 @@
   Clock::time_point deadline_;
   MemoryCharge reading_charge_;  ///< For the request that is being read.
   MemoryCharge answer_charge_;
-  size_t head_bytes_ = 0;      ///< Memory of the head of the request.
-  size_t progress_bytes_ = 0;  ///< Size of the body at `progress_at_`.
-  /// When the body or the answer last made progress.
-  Clock::time_point progress_at_;
+  size_t head_bytes_ = 0;            ///< Memory of the head of the request.
+  size_t progress_bytes_ = 0;        ///< Size of the body at `progress_at_`.
+  Clock::time_point progress_at_;    ///< When the body last made progress.
+  size_t write_progress_bytes_ = 0;  ///< Of `sent_` at `write_progress_at_`.
+  /// When the answers that are being written last made progress.
+  Clock::time_point write_progress_at_;
   bool header_done_ = false;
   bool request_started_ = false;
   bool reading_ = false;
@@ -733,6 +749,24 @@
   return false;
 }
 
+void HttpServer::StayWithinLimit() {
+  // Requests were admitted within the limit; what exceeds it are answers, whose
+  // size is known only when they arrive. These requests have run, so that no
+  // other answer can be sent for them.
+  while (budget_.held() > budget_.limit() &&
+         !MakeRoom(0, MemoryBudget::Use::kNoBody, nullptr)) {
+    auto largest = std::ranges::max_element(
+        connections_, {},
+        [](const auto& item) { return item.second->unread_answer_bytes(); });
+    if (largest == connections_.end() ||
+        largest->second->unread_answer_bytes() < kMinClosedAnswerBytes)
+      return;
+    std::shared_ptr<Connection> connection = largest->second;
+    budget_.CountAbandoned();
+    connection->Close();
+  }
+}
+
 void HttpServer::ScheduleTimeoutCheck() {
   timeout_check_timer_.expires_after(kTimeoutCheckInterval);
   timeout_check_timer_.async_wait([this](error_code error) {
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -70,6 +70,9 @@
 
   /// @param except not abandoned; the connection that needs the room.
   bool MakeRoom(size_t bytes, MemoryBudget::Use use, const Connection* except);
+  /// Closes connections until the limit of the budget holds: those whose
+  /// answers have stalled, then those with the most unread bytes of answers.
+  void StayWithinLimit();
   void Accept();
   void AcceptLater();
   /// Closes the connection that has been idle longest, or else the one whose
--- a/tests/mesh/memory_budget_test.cc
+++ b/tests/mesh/memory_budget_test.cc
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -361,5 +363,83 @@
   EXPECT_LT(budget_.held(Kind::kLinkInput), kMb);
 }
 
+/// A server whose answers arrive later, as those of a target do.
+class ServerWithLateAnswersTest : public testing::Test {
+ protected:
+  void SetUp() override { server_.Listen(address_); }
+
+  /// Connects a client that does not read, and sends requests.
+  void SendRequests(int count) {
+    auto& socket = sockets_.emplace_back(context_);
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect(ParseEndpoint(address_));
+    std::string bytes;
+    for (int i = 0; i < count; ++i)
+      bytes += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(socket, asio::buffer(bytes));
+    Run(50ms);
+  }
+
+  void Run(std::chrono::milliseconds time) {
+    context_.run_for(time);
+    context_.restart();
+  }
+
+  /// @param bytes size of the answer.
+  void Respond(CallId call, size_t bytes) {
+    HttpAnswer answer;
+    answer.body.assign(bytes, 'x');
+    server_.Respond(call, std::move(answer));
+  }
+
+  asio::io_context context_;
+  MemoryBudget budget_{8 * kMb};  ///< Limit 4 MB.
+  std::vector<CallId> calls_;
+  HttpServer server_{
+      context_,
+      {[this](CallId call, HttpRequest) { calls_.push_back(call); },
+       [](CallId) {}, [] { return CallerLimits(); }},
+      {&budget_, 64}};
+  std::string address_ = "127.0.0.1:" + std::to_string(28'000 + getpid() % 900);
+  std::deque<asio::ip::tcp::socket> sockets_;
+};
+
+// Guards against answers that exceed the memory although their requests were
+// admitted while there was room. Replays the load: clients that send 16
+// requests each before any is answered, and read none of the answers.
+TEST_F(ServerWithLateAnswersTest, AnswersThatAreNotReadStayWithinTheLimit) {
+  for (int i = 0; i < 20; ++i)
+    SendRequests(16);
+  ASSERT_EQ(calls_.size(), 320u);
+  size_t most = 0;
+  for (CallId call : calls_) {
+    Respond(call, 60'000);
+    most = std::max(most, budget_.held());
+  }
+  EXPECT_LE(most, budget_.limit() + 64 * 1024);
+  EXPECT_LE(budget_.held(), budget_.limit());
+  EXPECT_GT(budget_.abandoned(), 0u);
+  EXPECT_GT(server_.connections(), 0u);
+}
+
+// Guards against the loss of an ordinary answer while others fill the memory.
+TEST_F(ServerWithLateAnswersTest, ClosesTheConnectionWithMostUnreadAnswers) {
+  for (int i = 0; i < 8; ++i)
+    SendRequests(16);
+  SendRequests(1);
+  ASSERT_EQ(calls_.size(), 129u);
+  for (size_t i = 0; i < 128; ++i)
+    Respond(calls_[i], 60'000);
+  Respond(calls_[128], 4'000);
+  Run(50ms);
+  char bytes[8192];
+  ssize_t got =
+      recv(sockets_.back().native_handle(), bytes, sizeof(bytes), MSG_DONTWAIT);
+  EXPECT_GT(got, 0);
+  EXPECT_TRUE(
+      std::string(bytes, static_cast<size_t>(got)).starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace comfreylock::mesh
