--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -201,9 +201,14 @@
     incoming_.clear();
     input_charge_.Resize(0);
     output_charge_.Resize(0);
+    if (IsAccepted())
+      --hub_.accepted_;
     hub_.links_.erase(id_);
   }
 
+  bool IsAccepted() const { return (id_.value & kAcceptedLinkBit) != 0; }
+  bool hello_received() const { return hello_received_; }
+
  private:
   /// A request whose body is being sent in parts.
   struct OutgoingBody {
@@ -378,7 +383,7 @@
             return;
           if (input_.empty() && input_.capacity() > kMaxKeptBufferBytes)
             input_.shrink_to_fit();
-          input_charge_.Resize(input_.size());
+          input_charge_.Resize(std::max(input_.size(), begun_frame_bytes_));
           Read();
         });
   }
@@ -397,13 +402,17 @@
         // Requests come in large frames only from nodes that do not send parts.
         // An answer must not fail, and with it the link, because uploads fill
         // the memory that large bodies may use.
-        if (size > kMaxKeptBufferBytes && input_.capacity() < size &&
+        if (size > kMaxKeptBufferBytes && begun_frame_bytes_ == 0 &&
             input_.size() - at > kLengthPrefixBytes) {
           auto use = input_[at + kLengthPrefixBytes] == kForwardTag
                          ? MemoryBudget::Use::kLargeBody
                          : MemoryBudget::Use::kNoBody;
           if (!hub_.admission_(size, use))
             throw InputError("no memory for a frame");
+          // Charged at once: frames that begin together each find the room that
+          // the others have not filled yet.
+          begun_frame_bytes_ = size + kLengthPrefixBytes;
+          input_charge_.Resize(begun_frame_bytes_);
           input_.erase(0, std::exchange(at, 0));
           input_.reserve(size + kLengthPrefixBytes + kReadBytes);
         }
@@ -415,6 +424,7 @@
                                  static_cast<int>(size)))
         throw InputError("frame cannot be parsed");
       CheckFrame(*frame);
+      begun_frame_bytes_ = 0;
       at += kLengthPrefixBytes + size;
       HandleFrame(std::move(charged), size);
     }
@@ -432,8 +442,7 @@
       hello_received_ = true;
       peer_accepts_parts_ = frame.hello().body_parts();
       timer_.cancel();
-      bool accepted = (id_.value & kAcceptedLinkBit) != 0;
-      hub_.event_sink_(LinkOpened{id_, frame.hello(), accepted});
+      hub_.event_sink_(LinkOpened{id_, frame.hello(), IsAccepted()});
       return;
     }
     switch (frame.body_case()) {
@@ -536,6 +545,8 @@
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
   std::string input_;
+  /// Size of the large frame that `input_` begins with; 0: there is none.
+  size_t begun_frame_bytes_ = 0;
   std::string output_;
   std::string sent_;
   MemoryCharge input_charge_;
@@ -555,13 +566,13 @@
 LinkHub::LinkHub(asio::io_context& context,
                  wire::Hello hello,
                  EventSink event_sink,
-                 MemoryBudget& budget,
-                 Admission admission)
+                 Bounds bounds)
     : context_(context),
       hello_(std::move(hello)),
       event_sink_(std::move(event_sink)),
-      budget_(budget),
-      admission_(std::move(admission)),
+      budget_(bounds.budget),
+      admission_(std::move(bounds.admission)),
+      max_accepted_(bounds.max_accepted),
       acceptor_(context),
       accept_timer_(context) {}
 
@@ -583,6 +594,12 @@
         if (error == asio::error::operation_aborted)
           return;
         if (!error) {
+          if (accepted_ >= max_accepted_ && !CloseUngreetedLink()) {
+            // `socket` is closed when it goes out of scope.
+            Accept();
+            return;
+          }
+          ++accepted_;
           LinkId id{kAcceptedLinkBit | ++last_accepted_};
           auto connection =
               std::make_shared<Connection>(*this, id, std::move(socket));
@@ -614,6 +631,18 @@
       links_, [](const auto& item) { return item.second->HasUndelivered(); });
 }
 
+bool LinkHub::CloseUngreetedLink() {
+  // Ids of accepted links rise, and their order is that of the map.
+  auto oldest = std::ranges::find_if(links_, [](const auto& item) {
+    return item.second->IsAccepted() && !item.second->hello_received();
+  });
+  if (oldest == links_.end())
+    return false;
+  std::shared_ptr<Connection> link = oldest->second;
+  link->Close();
+  return true;
+}
+
 std::shared_ptr<LinkHub::Connection> LinkHub::Find(LinkId link) {
   auto found = links_.find(link);
   return found == links_.end() ? nullptr : found->second;
--- a/tests/mesh/node_exit_test.cc
+++ b/tests/mesh/node_exit_test.cc
@@ -53,7 +53,8 @@
             ++results_;
           lost_ |= std::holds_alternative<LinkClosed>(event);
         },
-        budget_, [](size_t, MemoryBudget::Use) { return true; });
+        LinkHub::Bounds{budget_,
+                        [](size_t, MemoryBudget::Use) { return true; }});
     hub_->Apply(OpenLink{
         LinkId{1},
         "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())});
