Test: stop soak judges resets also while its callers are busy

Cause: runs of 100 hosts with 20 connections each were not judged, because the callers' process lagged. Change: only timeouts of callers are excused then.

--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -105,8 +105,10 @@
 
 def describe(sent, run, run_host, stop, logs):
     """Returns the mechanism of a loss, and its description."""
-    run_stop = next((s for s in reversed(run_host.stops)
-                     if s.at <= sent.ended_at + 0.5), None)
+    # The stop of the process that was beside the target at the time.
+    run_stop = next((s for s in run_host.stops if run.time < s.exited_at), None)
+    if run_stop and run_stop.at > sent.ended_at + 0.5:
+        run_stop = None
     names = (sent.host.name, run_host.name)
     lines = [line for when, node, line in logs
              if "request_id=%s " % sent.id in line or node in names and
@@ -141,8 +143,10 @@
             "x-comfreylock-server-signature" in sent.headers)
         if complete or not sent.ended_at:
             continue
-        if any(begin < sent.ended_at and end > sent.sent_at
-               for begin, end in stalls):
+        # A caller that did not run may have timed out for that reason.
+        if "TimeoutError" in sent.error and any(
+                begin < sent.ended_at and end > sent.sent_at
+                for begin, end in stalls):
             losses["callers stalled", "not judged"].append(sent.id)
             continue
         # The stop of the process that took the request.
