--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -90,8 +90,9 @@
     ended = [node for node in ("entry", "run") if "requests_ended node=%s " %
              (sent.host.name if node == "entry" else run_host.name) in text]
     if ended:
-        return "requests of the %s node ended at the end of its grace time" % (
-            " and the ".join(ended))
+        return "requests of the %s node ended at the end of its grace time%s" % (
+            " and the ".join(ended), ", result not received"
+            if re.search("outcome=UNKNOWN reason=link_lost", text) else "")
     if "link_lost" in text and run_stop:
         gap = run_stop.exited_at - work_end
         return "link lost, run node exited %s" % (
@@ -159,6 +160,9 @@
             run_host = hosts[int(run.target.split("-")[1])]
             kind, text = describe(sent, run, run_host, stop, logs)
             losses[excuse(sent, run, run_host, stop), kind].append(text)
+        elif sent.status == 502:
+            losses["not run", "answered 502, as if it might have run"].append(
+                "%s %s entry=%s" % (sent.id, sent.kind, sent.host.name))
         elif (sent.status == 0 and not sent.behind and stop and
               end_of(sent, stop) - sent.sent_whole_at > LOSS_SLACK_S):
             losses["", "not run, cut off unanswered"].append(
