--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -90,9 +90,9 @@
     ended = [node for node in ("entry", "run") if "requests_ended node=%s " %
              (sent.host.name if node == "entry" else run_host.name) in text]
     if ended:
-        return "requests of the %s node ended at the end of its grace time%s" % (
-            " and the ".join(ended), ", result not received"
-            if re.search("outcome=UNKNOWN reason=link_lost", text) else "")
+        unsent = "outcome=UNKNOWN reason=link_lost" in text
+        return "the %s node ended its requests at the end of its time%s" % (
+            " and the ".join(ended), ", result not received" if unsent else "")
     if "link_lost" in text and run_stop:
         gap = run_stop.exited_at - work_end
         return "link lost, run node exited %s" % (
--- a/standins/standin_platform.cc
+++ b/standins/standin_platform.cc
@@ -430,10 +430,9 @@
   size_t answer_bytes = bytes.empty()
                             ? behaviour_.answer_bytes
                             : static_cast<size_t>(ParseInteger(bytes));
-  answer.body =
-      answer_bytes > 0
-          ? std::string(answer_bytes, 'x')
-          : "answer to " + id + " of " + std::to_string(request.body.size());
+  answer.body = answer_bytes > 0 ? std::string(answer_bytes, 'x')
+                                 : "answer to " + id + " of " +
+                                       std::to_string(request.body.size());
   answer.close = behaviour_.fails;
   if (behaviour_.fails)
     answer.status = 500;
