--- a/scripts/stop_soak_checks.py
+++ b/scripts/stop_soak_checks.py
@@ -90,8 +90,9 @@
     ended = [node for node in ("entry", "run") if "requests_ended node=%s " %
              (sent.host.name if node == "entry" else run_host.name) in text]
     if ended:
-        return "requests of the %s node ended at the end of its grace time" % (
-            " and the ".join(ended))
+        unsent = "outcome=UNKNOWN reason=link_lost" in text
+        return "the %s node ended its requests at the end of its time%s" % (
+            " and the ".join(ended), ", result not received" if unsent else "")
     if "link_lost" in text and run_stop:
         gap = run_stop.exited_at - work_end
         return "link lost, run node exited %s" % (
@@ -105,8 +106,10 @@
 
 def describe(sent, run, run_host, stop, logs):
     """Returns the mechanism of a loss, and its description."""
-    run_stop = next((s for s in reversed(run_host.stops)
-                     if s.at <= sent.ended_at + 0.5), None)
+    # The stop of the process that was beside the target at the time.
+    run_stop = next((s for s in run_host.stops if run.time < s.exited_at), None)
+    if run_stop and run_stop.at > sent.ended_at + 0.5:
+        run_stop = None
     names = (sent.host.name, run_host.name)
     lines = [line for when, node, line in logs
              if "request_id=%s " % sent.id in line or node in names and
@@ -141,8 +144,10 @@
             "x-comfreylock-server-signature" in sent.headers)
         if complete or not sent.ended_at:
             continue
-        if any(begin < sent.ended_at and end > sent.sent_at
-               for begin, end in stalls):
+        # A caller that did not run may have timed out for that reason.
+        if "TimeoutError" in sent.error and any(
+                begin < sent.ended_at and end > sent.sent_at
+                for begin, end in stalls):
             losses["callers stalled", "not judged"].append(sent.id)
             continue
         # The stop of the process that took the request.
@@ -155,6 +160,9 @@
             run_host = hosts[int(run.target.split("-")[1])]
             kind, text = describe(sent, run, run_host, stop, logs)
             losses[excuse(sent, run, run_host, stop), kind].append(text)
+        elif sent.status == 502:
+            losses["not run", "answered 502, as if it might have run"].append(
+                "%s %s entry=%s" % (sent.id, sent.kind, sent.host.name))
         elif (sent.status == 0 and not sent.behind and stop and
               end_of(sent, stop) - sent.sent_whole_at > LOSS_SLACK_S):
             losses["", "not run, cut off unanswered"].append(
