Do not start work late in a shutdown that may outlast it

What callers saw: a 502 in place of an answer that a target was working on, when the entry node and the node beside the target were both stopping.

Cause: a stopping node started queued requests of other nodes until it ended all requests, 0.7 s before it is killed, and then aborted those that ran. The expected time that let them in is the mean, and was compared when they arrived, not when they started.

Change: when the time for taking requests is over, 2.7 s after the SIGTERM, the queued requests whose deadline lies behind the end are refused as not run, so that they are placed on other targets.

ShutdownTest.QueuedRequestThatMayEndAfterExitIsNotStartedLate failed before the change and passes with it; the other tests of ShutdownTest pass.

--- a/src/mesh/mesh_reducer.cc
+++ b/src/mesh/mesh_reducer.cc
@@ -162,6 +162,8 @@
   last_tick_at_ = now_;
   if (!stopping_ || stopped_)
     return;
+  if (!AcceptsCallers())
+    RefuseLateWorks();
   if (now_ >= LastAnswerTime())
     EndRemainingRequests();
   // Each request of a caller postpones the exit, and with it the time from
@@ -203,6 +205,18 @@
          now_ + expected_time * kExpectedTimeSafetyFactor < LastAnswerTime();
 }
 
+void MeshReducer::RefuseLateWorks() {
+  if (std::exchange(late_works_refused_, true))
+    return;
+  std::vector<WorkId> late;
+  for (const auto& [id, work] : works_) {
+    if (!work.started && !IsOverBeforeExit(work.deadline))
+      late.push_back(id);
+  }
+  for (WorkId id : late)
+    CancelWork(id);
+}
+
 void MeshReducer::EndRemainingRequests() {
   if (std::exchange(requests_ended_, true))
     return;
--- a/src/mesh/mesh_reducer.h
+++ b/src/mesh/mesh_reducer.h
@@ -336,6 +336,10 @@
   ///     to be.
   bool CanAnswerBeforeExit(TimePoint deadline,
                            std::chrono::microseconds expected_time) const;
+  /// Refuses the queued requests that may not be over before this node exits,
+  /// once no further ones are taken. Started late, they would be aborted at the
+  /// exit, while callers of other nodes still wait for them.
+  void RefuseLateWorks();
   /// Ends all requests in progress, so that each gets an answer: as not run
   /// where that is certain.
   void EndRemainingRequests();
@@ -736,7 +740,8 @@
   std::vector<UnansweredReport> unanswered_reports_;
 
   bool stopping_ = false;
-  bool requests_ended_ = false;  ///< See `EndRemainingRequests`.
+  bool late_works_refused_ = false;  ///< See `RefuseLateWorks`.
+  bool requests_ended_ = false;      ///< See `EndRemainingRequests`.
   TimePoint stopping_since_;
   TimePoint last_call_at_;            ///< Last request from a caller.
   bool reports_not_serving_ = false;  ///< Set shortly before the exit.
--- a/tests/mesh/exit_review_test.cc
+++ b/tests/mesh/exit_review_test.cc
@@ -104,8 +104,9 @@
     hello.set_node("here");
     hello.set_body_parts(true);
     hub_ = std::make_unique<LinkHub>(
-        context_, hello, [](const EventBody&) {}, budget_,
-        [](size_t, MemoryBudget::Use) { return true; });
+        context_, hello, [](const EventBody&) {},
+        LinkHub::Bounds{budget_,
+                        [](size_t, MemoryBudget::Use) { return true; }});
     hub_->Apply(OpenLink{
         LinkId{1},
         "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())});
--- a/tests/mesh/shutdown_test.cc
+++ b/tests/mesh/shutdown_test.cc
@@ -170,6 +170,20 @@
   EXPECT_EQ(outcomes[0].kind(), wire::Outcome::NOT_RUN);
 }
 
+// Guards against work that is started late in the shutdown and aborted at its
+// end, while the entry node, which is stopping too, answers in its place.
+TEST_F(ShutdownTest, QueuedRequestThatMayEndAfterExitIsNotStartedLate) {
+  StopNode(1);
+  Feed(FrameReceived{kLink, ForwardFrame(1, now_, 9000ms)});
+  Feed(FrameReceived{kLink, ForwardFrame(2, now_, 9000ms)});
+  Feed(FrameReceived{kLink, ForwardFrame(3, now_, 5000ms)});
+  EXPECT_TRUE(Outcomes(AdvanceTo(2600ms)).empty());
+  auto outcomes = Outcomes(AdvanceTo(2900ms));
+  ASSERT_EQ(outcomes.size(), 1u);
+  EXPECT_EQ(outcomes[0].stream(), 2u);
+  EXPECT_EQ(outcomes[0].kind(), wire::Outcome::NOT_RUN);
+}
+
 // The node that runs a request for a caller of this one says whether it has
 // run; without its outcome the caller is told that it may have.
 TEST_F(ShutdownTest, RequestAtOtherNodeIsAnsweredWithItsOutcome) {
