Send loads often on links whose requests run long

What callers saw: a request that runs longer than 3 s could end with 502 after a stall of 0.2 to 0.3 s of the node beside its target.

Cause: the entry node closes a link with requests in progress after 1.3 s of silence. The node beside the target counted the link as busy only for 3 s after the last request on it and then sent its load once a second. A stopping entry node sends no further requests, so its last ones are in this state.

Change: a link is busy while requests run that came on it.

Not seen in whole processes.

--- a/src/mesh/mesh_reducer_works.cc
+++ b/src/mesh/mesh_reducer_works.cc
@@ -671,9 +671,12 @@
   for (auto& [id, link] : links_) {
     if (!link.open || !link.accepted)
       continue;
-    // A node that polls the store sends at the short interval, because other
-    // nodes need its confirmations of the configuration while they are recent.
-    bool busy = polls_config || now_ - link.last_forward_at < kBusyLinkWindow;
+    // The peer closes a link with requests in progress after a short silence.
+    // A node that polls the store sends at the short interval too, because
+    // other nodes need its confirmations of the configuration while they are
+    // recent.
+    bool busy = polls_config || !link.works.empty() ||
+                now_ - link.last_forward_at < kBusyLinkWindow;
     auto interval = busy ? kBusyLoadInterval : kIdleLoadInterval;
     if (!changed && now_ - link.last_load_sent_at < interval)
       continue;
