Count the buffers of callers' connections

Callers saw: nothing yet; with the bytes that the kernel had received, a node held 153 MB of the 128 MB that its settings allow. Cause: a connection's read buffer was not counted, nor were the 64 KB that the kernel may receive for a connection that the node does not read because 16 of its requests are in progress or 256 KB of its answers are unread. Change: both are charged, as the kind `connections`. While a connection is not read and the total is above the limit, it may be closed like one with unread answers, the one that has taken on most first.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -41,6 +41,8 @@
 /// Kernel's receive buffer of a connection, which counts as memory of this
 /// process. Above the product of 200 Mbit/s and a round trip of 2 ms.
 constexpr size_t kReceiveBufferBytes = 64 * 1024;
+/// Memory of a connection besides its buffers.
+constexpr size_t kConnectionOverheadBytes = 2 * 1024;
 /// Memory of a request besides its fields and body.
 constexpr size_t kRequestOverheadBytes = 1024;
 constexpr size_t kFieldOverheadBytes = 80;
@@ -62,9 +64,10 @@
 /// Unread answers of a connection above which they count as stalled when they
 /// make no progress.
 constexpr size_t kLargeAnswerBytes = 64 * 1024;
-/// Unread answers of a connection up to which it is not closed to stay within
-/// the limit. All connections together hold no more than what is not counted.
-constexpr size_t kMinClosedAnswerBytes = 8 * 1024;
+/// Bytes that a connection has taken on after the admission of its requests up
+/// to which it is not closed to stay within the limit. All connections together
+/// hold no more than what is not counted.
+constexpr size_t kMinClosedBytes = 8 * 1024;
 /// Size of a written answer above which its memory is released at once.
 constexpr size_t kMaxKeptOutputBytes = 64 * 1024;
 /// `Retry-After` of requests that are refused for want of memory, spread over
@@ -89,7 +92,9 @@
       : server_(server),
         socket_(std::move(socket)),
         reading_charge_(server.budget_, MemoryBudget::Kind::kReading),
-        answer_charge_(server.budget_, MemoryBudget::Kind::kAnswers) {
+        answer_charge_(server.budget_, MemoryBudget::Kind::kAnswers),
+        buffer_charge_(server.budget_, MemoryBudget::Kind::kConnections),
+        unread_charge_(server.budget_, MemoryBudget::Kind::kConnections) {
     SetTimeout(server_.handlers_.limits().idle_timeout);
   }
 
@@ -111,8 +116,12 @@
     server_.StayWithinLimit();
   }
 
-  /// @return bytes of answers that the client has not read.
-  size_t unread_answer_bytes() const { return answer_charge_.bytes(); }
+  /// @return bytes that the connection has taken on since its requests were
+  ///     admitted: answers that the client has not read, and room for requests
+  ///     that this node has not read.
+  size_t unadmitted_bytes() const {
+    return answer_charge_.bytes() + unread_charge_.bytes();
+  }
 
   /// @return since when the connection has held memory without progress, or
   ///     nothing if it holds none or waits for this node.
@@ -190,6 +199,8 @@
     pending_answers_.clear();
     reading_charge_.Resize(0);
     answer_charge_.Resize(0);
+    buffer_charge_.Resize(0);
+    unread_charge_.Resize(0);
     parser_.reset();
     auto self = shared_from_this();
     server_.connections_.erase(this);
@@ -280,42 +291,54 @@
     if (closed_ || reading_)
       return;
     reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(kReadBytes),
-        [this, self = shared_from_this()](error_code error, size_t bytes) {
-          reading_ = false;
-          if (closed_)
-            return;
-          if (error) {
-            Close();
-            return;
-          }
-          if (final_answer_queued_) {
-            // Further input is read and discarded: closing a socket with unread
-            // input sends a reset, which can destroy the last answer.
-            Read();
-            return;
-          }
-          // Under load, a request may be read only after its client has
-          // disconnected.
-          if (IsClosedByPeer(socket_)) {
-            Close();
-            return;
-          }
-          if (stop_parsing_) {
-            // No request follows, so that what the client still sends must not
-            // be kept.
-            buffer_.clear();
-            Read();
-            return;
-          }
-          buffer_.commit(bytes);
-          ParseInput();
-          // Reading stops while the pipeline is full. The client's close is
-          // then noticed only after the pending answers are written.
-          if (AcceptsRequests())
-            Read();
-        });
+    unread_charge_.Resize(0);
+    auto room = buffer_.prepare(kReadBytes);
+    buffer_charge_.Resize(kConnectionOverheadBytes + buffer_.capacity());
+    socket_.async_read_some(room, [this, self = shared_from_this()](
+                                      error_code error, size_t bytes) {
+      reading_ = false;
+      if (closed_)
+        return;
+      if (error) {
+        Close();
+        return;
+      }
+      if (final_answer_queued_) {
+        // Further input is read and discarded: closing a socket with unread
+        // input sends a reset, which can destroy the last answer.
+        Read();
+        return;
+      }
+      // Under load, a request may be read only after its client has
+      // disconnected.
+      if (IsClosedByPeer(socket_)) {
+        Close();
+        return;
+      }
+      if (stop_parsing_) {
+        // No request follows, so that what the client still sends must not
+        // be kept.
+        buffer_.clear();
+        Read();
+        return;
+      }
+      buffer_.commit(bytes);
+      ParseInput();
+      // Reading stops while the pipeline is full. The client's close is
+      // then noticed only after the pending answers are written.
+      if (AcceptsRequests())
+        Read();
+      else
+        Pause();
+    });
+  }
+
+  /// Counts what the kernel may receive until this node reads again.
+  void Pause() {
+    if (closed_ || reading_)
+      return;
+    unread_charge_.Resize(kReceiveBufferBytes);
+    server_.StayWithinLimit();
   }
 
   /// @return whether further requests are read: not while the client leaves
@@ -613,6 +636,9 @@
   Clock::time_point deadline_;
   MemoryCharge reading_charge_;  ///< For the request that is being read.
   MemoryCharge answer_charge_;
+  MemoryCharge buffer_charge_;  ///< For `buffer_` and the object.
+  /// For the kernel's receive buffer while this node does not read.
+  MemoryCharge unread_charge_;
   size_t head_bytes_ = 0;            ///< Memory of the head of the request.
   size_t progress_bytes_ = 0;        ///< Size of the body at `progress_at_`.
   Clock::time_point progress_at_;    ///< When the body last made progress.
@@ -751,15 +777,15 @@
 
 void HttpServer::StayWithinLimit() {
   // Requests were admitted within the limit; what exceeds it are answers, whose
-  // size is known only when they arrive. These requests have run, so that no
-  // other answer can be sent for them.
+  // size is known only when they arrive, and what the kernel receives while
+  // connections are not read. Requests that have run get no other answer.
   while (budget_.held() > budget_.limit() &&
          !MakeRoom(0, MemoryBudget::Use::kNoBody, nullptr)) {
     auto largest = std::ranges::max_element(
         connections_, {},
-        [](const auto& item) { return item.second->unread_answer_bytes(); });
+        [](const auto& item) { return item.second->unadmitted_bytes(); });
     if (largest == connections_.end() ||
-        largest->second->unread_answer_bytes() < kMinClosedAnswerBytes)
+        largest->second->unadmitted_bytes() < kMinClosedBytes)
       return;
     std::shared_ptr<Connection> connection = largest->second;
     budget_.CountAbandoned();
--- a/src/mesh/memory_budget.cc
+++ b/src/mesh/memory_budget.cc
@@ -109,6 +109,8 @@
       return "link_output";
     case Kind::kTargetAnswers:
       return "target_answers";
+    case Kind::kConnections:
+      return "connections";
   }
   return "unknown";
 }
--- a/src/mesh/memory_budget.h
+++ b/src/mesh/memory_budget.h
@@ -31,8 +31,9 @@
     kLinkInput,      ///< Requests and partial frames from other nodes.
     kLinkOutput,     ///< Frames that other nodes have not read.
     kTargetAnswers,  ///< Answers that the target is sending.
+    kConnections,    ///< Buffers of callers' connections, also the kernel's.
   };
-  static constexpr size_t kKindCount = 6;
+  static constexpr size_t kKindCount = 7;
 
   /// Each use may take the held bytes up to its own share of the limit, so that
   /// large bodies leave room for small ones, and these for requests without a
