Make room for a large answer of another node instead of closing its link

Callers saw: 503 for 20 s at an entry node whose callers had filled its memory. Cause: a frame with an answer above 256 KB for which there was no room closed the link, with 179 requests in progress; before the peer's record was read, it was forgotten as well. Change: room for it is made as for answers that have arrived: stalled connections are closed, then those that have taken on most.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -113,7 +113,7 @@
       break;
     }
     FlushAnswers();
-    server_.StayWithinLimit();
+    server_.MakeRoomForAnswer(0);
   }
 
   /// @return bytes that the connection has taken on since its requests were
@@ -338,7 +338,7 @@
     if (closed_ || reading_)
       return;
     unread_charge_.Resize(kReceiveBufferBytes);
-    server_.StayWithinLimit();
+    server_.MakeRoomForAnswer(0);
   }
 
   /// @return whether further requests are read: not while the client leaves
@@ -745,7 +745,8 @@
 }
 
 bool HttpServer::MakeRoom(size_t bytes, MemoryBudget::Use use) {
-  return MakeRoom(bytes, use, nullptr);
+  return use == MemoryBudget::Use::kAnswer ? MakeRoomForAnswer(bytes)
+                                           : MakeRoom(bytes, use, nullptr);
 }
 
 bool HttpServer::MakeRoom(size_t bytes,
@@ -775,22 +776,24 @@
   return false;
 }
 
-void HttpServer::StayWithinLimit() {
+bool HttpServer::MakeRoomForAnswer(size_t bytes) {
   // Requests were admitted within the limit; what exceeds it are answers, whose
   // size is known only when they arrive, and what the kernel receives while
   // connections are not read. Requests that have run get no other answer.
-  while (budget_.held() > budget_.limit() &&
-         !MakeRoom(0, MemoryBudget::Use::kNoBody, nullptr)) {
+  if (bytes > budget_.limit())
+    return false;
+  while (!MakeRoom(bytes, MemoryBudget::Use::kAnswer, nullptr)) {
     auto largest = std::ranges::max_element(
         connections_, {},
         [](const auto& item) { return item.second->unadmitted_bytes(); });
     if (largest == connections_.end() ||
         largest->second->unadmitted_bytes() < kMinClosedBytes)
-      return;
+      return false;
     std::shared_ptr<Connection> connection = largest->second;
     budget_.CountAbandoned();
     connection->Close();
   }
+  return true;
 }
 
 void HttpServer::ScheduleTimeoutCheck() {
--- a/src/mesh/http_server.h
+++ b/src/mesh/http_server.h
@@ -57,7 +57,9 @@
   void Respond(CallId call, HttpAnswer answer);
 
   /// Makes room for `bytes` more: abandons the bodies and answers that have
-  /// stalled, the one that has stalled longest first.
+  /// stalled, the one that has stalled longest first. For an answer,
+  /// connections that have taken on much since their requests were admitted are
+  /// closed too.
   /// @return whether the budget then admits them for `use`.
   bool MakeRoom(size_t bytes, MemoryBudget::Use use);
 
@@ -70,9 +72,12 @@
 
   /// @param except not abandoned; the connection that needs the room.
   bool MakeRoom(size_t bytes, MemoryBudget::Use use, const Connection* except);
-  /// Closes connections until the limit of the budget holds: those whose
-  /// answers have stalled, then those with the most unread bytes of answers.
-  void StayWithinLimit();
+  /// Closes connections until there is room: those whose answers have stalled,
+  /// then those that have taken on the most bytes since their requests were
+  /// admitted.
+  /// @param bytes of an answer that is not charged yet; 0: all are.
+  /// @return whether the budget then admits them.
+  bool MakeRoomForAnswer(size_t bytes);
   void Accept();
   void AcceptLater();
   /// Closes the connection that has been idle longest, or else the one whose
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -133,7 +133,7 @@
       RemoveOutgoingBody(frame.cancel().stream());
     if (frame.has_outcome() && frame.outcome().body().size() > kPartBytes &&
         !hub_.admission_(frame.outcome().body().size(),
-                         MemoryBudget::Use::kNoBody)) {
+                         MemoryBudget::Use::kAnswer)) {
       // The answer cannot be held until the other node reads it, and the target
       // has run the request.
       hub_.budget_.CountRefusal();
@@ -365,7 +365,7 @@
             input_.size() - at > kLengthPrefixBytes) {
           auto use = input_[at + kLengthPrefixBytes] == kForwardTag
                          ? MemoryBudget::Use::kLargeBody
-                         : MemoryBudget::Use::kNoBody;
+                         : MemoryBudget::Use::kAnswer;
           if (!hub_.admission_(size, use))
             throw InputError("no memory for a frame");
           // Charged at once: frames that begin together each find the room that
--- a/src/mesh/memory_budget.cc
+++ b/src/mesh/memory_budget.cc
@@ -54,6 +54,7 @@
     case Use::kSmallBody:
       return limit_ / 8 * kSmallBodyEighths;
     case Use::kNoBody:
+    case Use::kAnswer:
       return limit_;
   }
   return limit_;
--- a/src/mesh/memory_budget.h
+++ b/src/mesh/memory_budget.h
@@ -38,7 +38,9 @@
   /// Each use may take the held bytes up to its own share of the limit, so that
   /// large bodies leave room for small ones, and these for requests without a
   /// body.
-  enum class Use { kLargeBody, kSmallBody, kNoBody };
+  /// Answers belong to requests that have run: room is made for them where
+  /// requests would be refused.
+  enum class Use { kLargeBody, kSmallBody, kNoBody, kAnswer };
 
   /// Memory assumed if the settings give none: the smallest host of the design
   /// size.
