--- a/src/mesh/memory_budget.cc
+++ b/src/mesh/memory_budget.cc
@@ -54,6 +54,7 @@
     case Use::kSmallBody:
       return limit_ / 8 * kSmallBodyEighths;
     case Use::kNoBody:
+    case Use::kAnswer:
       return limit_;
   }
   return limit_;
@@ -109,6 +110,8 @@
       return "link_output";
     case Kind::kTargetAnswers:
       return "target_answers";
+    case Kind::kConnections:
+      return "connections";
   }
   return "unknown";
 }
