Serve no connection that is accepted after the listener was closed

What callers saw: nothing yet; a connection accepted just before the exit was served, its request was taken and got no answer until the process ended.

Cause: an accept that has succeeded already completes after the listener was closed. Change: such a connection is closed, of callers and of other nodes.

--- a/src/mesh/http_server.cc
+++ b/src/mesh/http_server.cc
@@ -796,7 +796,8 @@
 void HttpServer::Accept() {
   acceptor_.async_accept([this](error_code error,
                                 asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
+    // The accept may have succeeded before the listener was closed.
+    if (error == asio::error::operation_aborted || !acceptor_.is_open())
       return;
     if (error) {
       CloseIdleConnection();
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -591,7 +591,7 @@
 void LinkHub::Accept() {
   acceptor_.async_accept(
       [this](error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted || !acceptor_.is_open())
           return;
         if (!error) {
           if (accepted_ >= max_accepted_ && !CloseUngreetedLink()) {
