Answer reports of the target while a node closes its connections

What targets saw: no answer to a report or a leave from 2.1 s after the SIGTERM to the exit, up to 3.8 s while a caller reads slowly.

Cause: the closing state ignores all events. Change: a report is answered as not confirmed, so that the target sends it again. Reports that waited for the store when the exit began still get no answer.

--- a/src/mesh/mesh_runtime.cc
+++ b/src/mesh/mesh_runtime.cc
@@ -134,8 +134,13 @@
 }
 
 void MeshRuntime::Feed(EventBody event) {
-  if (closing_)
+  if (closing_) {
+    // The target reports again until it gets a confirmation.
+    if (auto* report = std::get_if<TargetReported>(&event);
+        report && report->call && report_responder_)
+      report_responder_(ReplyToReport{report->call, false});
     return;
+  }
   events_.push_back(std::move(event));
   if (processing_events_)
     return;
