--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -63,6 +63,29 @@
     return found
 
 
+# Port that marks a subnet as reserved, and the sockets that hold it, by subnet.
+_SUBNET_LOCK_PORT = 8999
+_SUBNET_LOCKS = {}
+
+
+def reserve_subnet():
+    """Returns N such that no other process that calls this uses the addresses
+    127.0.N.0/24 while this process runs; the same N at each call."""
+    for subnet in _SUBNET_LOCKS:
+        return subnet
+    for offset in range(200):
+        subnet = 10 + (os.getpid() + offset) % 200
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind(("127.0.%d.254" % subnet, _SUBNET_LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        _SUBNET_LOCKS[subnet] = lock
+        return subnet
+    raise OSError("all loopback subnets are in use")
+
+
 def request(address, method, path, headers=None, body=None, timeout=10.0):
     """Sends one HTTP request; returns (status, headers, body)."""
     connection = http.client.HTTPConnection(address, timeout=timeout)
